--- /dev/null
+++ b/backend/api/src/main/kotlin/org/hyssoprack/backend/ServiceClient.kt
@@ -0,0 +1,17 @@
+package org.hyssoprack.backend
+
+import arrow.core.Either
+import org.hyssoprack.common.Failure
+import org.hyssoprack.platform.BackendServer
+
+/** Calls to plain services. Implementations never send a call twice. */
+interface ServiceClient {
+    /**
+     * Runs [call] on [server]. Fails with BACKEND_REFUSED only if no byte of the call was sent, and
+     * with ANSWER_MISMATCHED if the answer does not echo the request id.
+     */
+    suspend fun call(server: BackendServer, call: ServiceCall): Either<Failure, ServiceAnswer>
+
+    /** The server's own, lagging account of its load. */
+    suspend fun load(server: BackendServer): Either<Failure, LoadReport>
+}
--- /dev/null
+++ b/core/claims/src/main/kotlin/org/hyssoprack/claims/RecordedOutcome.kt
@@ -0,0 +1,18 @@
+package org.hyssoprack.claims
+
+import kotlinx.serialization.Serializable
+
+/**
+ * How a claimed call ended.
+ *
+ * @property code number of the result code.
+ * @property status HTTP status of the backend server's answer; 0 if there was no whole answer.
+ * @property bodyBase64 body of the answer.
+ */
+@Serializable
+data class RecordedOutcome(
+    val code: Int,
+    val status: Int = 0,
+    val contentType: String? = null,
+    val bodyBase64: String = ""
+)
--- /dev/null
+++ b/core/common/src/main/kotlin/org/hyssoprack/common/Clock.kt
@@ -0,0 +1,10 @@
+package org.hyssoprack.common
+
+/** Source of time for the whole system, in milliseconds. */
+interface Clock {
+    /** Monotonic time in milliseconds; only differences within one process have a meaning. */
+    fun nowMs(): Long
+
+    /** Wall-clock time in milliseconds since the epoch; may jump. */
+    fun epochMs(): Long
+}
--- /dev/null
+++ b/core/common/src/main/kotlin/org/hyssoprack/common/FencingNumber.kt
@@ -0,0 +1,12 @@
+package org.hyssoprack.common
+
+import kotlinx.serialization.Serializable
+
+/** Number that grows with each new holder of a lease; a receiver refuses orders with a lower one. */
+@JvmInline
+@Serializable
+value class FencingNumber(val value: Long) : Comparable<FencingNumber> {
+    override fun compareTo(other: FencingNumber): Int = value.compareTo(other.value)
+
+    override fun toString(): String = value.toString()
+}
--- /dev/null
+++ b/core/common/src/main/kotlin/org/hyssoprack/common/Outcome.kt
@@ -0,0 +1,13 @@
+package org.hyssoprack.common
+
+/** What a caller may conclude about its request. */
+enum class Outcome(val wireName: String) {
+    /** The whole answer was delivered. */
+    DONE("done"),
+
+    /** The request reached no backend server; it may be sent again. */
+    NOT_RUN("not-run"),
+
+    /** The request ran in part, or whether it ran is not known. */
+    UNKNOWN("unknown")
+}
--- /dev/null
+++ b/core/policy/src/main/kotlin/org/hyssoprack/policy/Route.kt
@@ -0,0 +1,22 @@
+package org.hyssoprack.policy
+
+import org.hyssoprack.common.PoolName
+import org.hyssoprack.common.RouteName
+
+/**
+ * Sends the requests that match every condition to a pool.
+ *
+ * @property deadlineMs time from arrival to the end of the answer; a caller may ask for less.
+ * @property once whether a call may not be repeated; such calls need an idempotency key.
+ */
+data class Route(
+    val name: RouteName,
+    val conditions: List<Condition>,
+    val tier: Tier,
+    val pool: PoolName,
+    val deadlineMs: Long,
+    val once: Boolean = false
+) {
+    /** True if all conditions hold for [facts]. */
+    fun matches(facts: RequestFacts): Boolean = conditions.all { it.holds(facts) }
+}
--- /dev/null
+++ b/core/scheduling/src/main/kotlin/org/hyssoprack/scheduling/EntryOutput.kt
@@ -0,0 +1,28 @@
+package org.hyssoprack.scheduling
+
+import org.hyssoprack.common.BackendServerId
+import org.hyssoprack.common.Failure
+import org.hyssoprack.common.HostId
+import org.hyssoprack.common.RequestId
+
+/** What the entry host must do after a step of its scheduler. */
+sealed interface EntryOutput {
+    /** Send [message] to a host, which may be this one. */
+    data class Send(val to: HostId, val message: SlotMessage) : EntryOutput
+
+    /** Dispatch the request to [server] now. Said at most once for each request. */
+    data class Dispatch(val requestId: RequestId, val server: BackendServerId) : EntryOutput
+
+    /** Tell the caller that the request did not run. Said at most once, and never after [Dispatch]. */
+    data class Reject(val requestId: RequestId, val failure: Failure) : EntryOutput
+
+    /** Suspend the running request, or cancel it if [suspend] is false. */
+    data class Preempt(
+        val requestId: RequestId,
+        val server: BackendServerId,
+        val suspend: Boolean
+    ) : EntryOutput
+
+    /** Resume the suspended request on the server that holds its state. */
+    data class Resume(val requestId: RequestId, val server: BackendServerId) : EntryOutput
+}
--- /dev/null
+++ b/core/scheduling/src/main/kotlin/org/hyssoprack/scheduling/LeaseId.kt
@@ -0,0 +1,10 @@
+package org.hyssoprack.scheduling
+
+import kotlinx.serialization.Serializable
+
+/** Identifies a slot lease among all leases of its owner's incarnation. */
+@JvmInline
+@Serializable
+value class LeaseId(val value: Long) {
+    override fun toString(): String = value.toString()
+}
