--- a/core/common/src/main/kotlin/org/hyssoprack/common/ResultCode.kt
+++ b/core/common/src/main/kotlin/org/hyssoprack/common/ResultCode.kt
@@ -49,7 +49,6 @@
     HEADER_MISSING(4006, Outcome.NOT_RUN, 400, "A required header is missing."),
     HEADER_INVALID(4007, Outcome.NOT_RUN, 400, "A header's value is not of the expected form."),
     REQUEST_INCOMPLETE(4008, Outcome.NOT_RUN, 408, "The request did not arrive in time."),
-    REQUEST_DUPLICATE(4009, Outcome.NOT_RUN, 409, "A request with this id is in progress here."),
     PATH_UNKNOWN(4010, Outcome.NOT_RUN, 404, "The path does not exist."),
     KEY_REUSED(4011, Outcome.NOT_RUN, 422, "The idempotency key was used for another body."),
 
--- /dev/null
+++ b/host/src/main/kotlin/org/hyssoprack/host/Admission.kt
@@ -0,0 +1,157 @@
+package org.hyssoprack.host
+
+import arrow.core.Either
+import arrow.core.left
+import arrow.core.raise.Raise
+import arrow.core.raise.either
+import arrow.core.raise.ensure
+import arrow.core.raise.ensureNotNull
+import java.util.concurrent.atomic.AtomicLong
+import org.hyssoprack.backend.PrefixHash
+import org.hyssoprack.common.ClientAccount
+import org.hyssoprack.common.Clock
+import org.hyssoprack.common.Failure
+import org.hyssoprack.common.HostRef
+import org.hyssoprack.common.IdempotencyKey
+import org.hyssoprack.common.RequestId
+import org.hyssoprack.common.ResultCode
+import org.hyssoprack.common.ServiceId
+import org.hyssoprack.policy.RequestFacts
+import org.hyssoprack.policy.Route
+import org.hyssoprack.scheduling.WaitingRequest
+import org.hyssoprack.settings.ActiveBundle
+import org.hyssoprack.settings.BundleHolder
+
+/** Checks a caller's call against the accepted bundle and works out how to serve it. */
+class Admission(
+    private val self: HostRef,
+    private val bundles: BundleHolder,
+    private val clock: Clock
+) {
+    private val suffixes = AtomicLong()
+
+    /** The admitted request, or why it is refused; a refused request ran nowhere. */
+    fun admit(call: CallerCall): Either<Failure, AdmittedRequest> {
+        val now = clock.nowMs()
+        if (!bundles.isCurrent(now)) {
+            return Failure(ResultCode.HOST_ISOLATED, "Use another host.").left()
+        }
+        val bundle = bundles.active.value
+            ?: return Failure(ResultCode.NO_SETTINGS, "Accept a settings bundle first.").left()
+        return either { admit(call, bundle, now) }
+    }
+
+    private fun Raise<Failure>.admit(
+        call: CallerCall,
+        bundle: ActiveBundle,
+        now: Long
+    ): AdmittedRequest {
+        val account = account(call, bundle)
+        val service = serviceOf(call.path)
+        val body = if (service != null) null else completion(call)
+        val servicePath = service?.let { call.path.removePrefix("$SERVICES$it").ifEmpty { "/" } }
+        val facts = RequestFacts(
+            account = account,
+            method = call.method,
+            path = servicePath ?: call.path,
+            model = body?.model,
+            service = service,
+            lane = call.lane
+        )
+        val route = ensureNotNull(bundle.policy.route(facts)) { noRoute(facts) }
+        val pool = bundle.policy.pools.getValue(route.pool)
+        val key = idempotencyKey(call, route)
+        val id = requestId(call)
+        val waiting = WaitingRequest(
+            id = id,
+            account = account,
+            share = bundle.policy.accounts[account]?.share ?: 1,
+            tier = route.tier.rank,
+            pool = pool.name,
+            arrivedAtMs = now,
+            deadlineAtMs = now + deadline(call, route),
+            promptTokens = (body?.prompt?.length ?: 0) / CHARS_PER_TOKEN,
+            completionTokens = body?.maxTokens ?: 0,
+            prefixHash = body?.let { PrefixHash.of(it.prompt) },
+            once = route.once
+        )
+        return AdmittedRequest(
+            id = id,
+            account = account,
+            route = route,
+            pool = pool,
+            bundle = bundle.version,
+            waiting = waiting,
+            call = call,
+            firstAttempt = call.requestId == null || call.attempt == FIRST_ATTEMPT,
+            idempotencyKey = key,
+            servicePath = servicePath,
+            stream = body?.stream ?: false
+        )
+    }
+
+    private fun Raise<Failure>.account(call: CallerCall, bundle: ActiveBundle): ClientAccount {
+        val key = ensureNotNull(call.bearerKey) {
+            Failure(ResultCode.KEY_MISSING, "Send 'Authorization: Bearer <key>'.")
+        }
+        return ensureNotNull(bundle.accountByKeyHash[KeyHash.of(key)]) {
+            Failure(ResultCode.KEY_UNKNOWN, "The key belongs to no client account.")
+        }
+    }
+
+    private fun Raise<Failure>.completion(call: CallerCall): CompletionBody {
+        ensure(call.path in COMPLETION_PATHS) {
+            Failure(ResultCode.PATH_UNKNOWN, "There is no path ${call.path}.")
+        }
+        return CompletionBody.parse(call.body.decodeToString()).bind()
+    }
+
+    private fun noRoute(facts: RequestFacts): Failure {
+        val model = facts.model
+        if (model != null) {
+            return Failure(ResultCode.MODEL_UNKNOWN, "No route of yours serves the model $model.")
+        }
+        return Failure(ResultCode.ROUTE_UNKNOWN, "No route of yours serves this call.")
+    }
+
+    private fun Raise<Failure>.idempotencyKey(call: CallerCall, route: Route): IdempotencyKey? {
+        if (!route.once) return null
+        val key = ensureNotNull(call.idempotencyKey) {
+            Failure(ResultCode.HEADER_MISSING, "Calls on this route need 'Idempotency-Key'.")
+        }
+        ensure(HEADER_TOKEN.matches(key)) {
+            Failure(ResultCode.HEADER_INVALID, "'Idempotency-Key' is not 1 to 128 characters.")
+        }
+        return IdempotencyKey(key)
+    }
+
+    private fun Raise<Failure>.requestId(call: CallerCall): RequestId {
+        val given = call.requestId ?: return RequestId.of(self, "s${suffixes.incrementAndGet()}")
+        ensure(HEADER_TOKEN.matches(given)) {
+            Failure(ResultCode.HEADER_INVALID, "'X-Request-Id' is not 1 to 128 plain characters.")
+        }
+        return RequestId(given)
+    }
+
+    private fun Raise<Failure>.deadline(call: CallerCall, route: Route): Long {
+        val given = call.deadline ?: return route.deadlineMs
+        val ms = given.toLongOrNull()
+        ensure(ms != null && ms > 0) {
+            Failure(ResultCode.HEADER_INVALID, "'X-Deadline-Ms' is not a positive whole number.")
+        }
+        return minOf(ms, route.deadlineMs)
+    }
+
+    private fun serviceOf(path: String): ServiceId? {
+        if (!path.startsWith(SERVICES)) return null
+        return ServiceId(path.removePrefix(SERVICES).substringBefore('/'))
+    }
+
+    private companion object {
+        const val SERVICES = "/v1/services/"
+        const val FIRST_ATTEMPT = "1"
+        const val CHARS_PER_TOKEN = 4
+        val COMPLETION_PATHS = setOf("/v1/completions", "/v1/chat/completions")
+        val HEADER_TOKEN = Regex("""[!-~]{1,128}""")
+    }
+}
--- /dev/null
+++ b/host/src/main/kotlin/org/hyssoprack/host/AdmittedRequest.kt
@@ -0,0 +1,31 @@
+package org.hyssoprack.host
+
+import org.hyssoprack.common.BundleVersion
+import org.hyssoprack.common.ClientAccount
+import org.hyssoprack.common.IdempotencyKey
+import org.hyssoprack.common.RequestId
+import org.hyssoprack.policy.Pool
+import org.hyssoprack.policy.Route
+import org.hyssoprack.scheduling.WaitingRequest
+
+/**
+ * A caller's request that passed every check.
+ *
+ * @property bundle version of the settings under which it is served to its end.
+ * @property firstAttempt true if the caller says that it never sent this id before.
+ * @property servicePath path to call on a plain service; null for a completion.
+ * @property stream whether the caller wants the answer token by token.
+ */
+data class AdmittedRequest(
+    val id: RequestId,
+    val account: ClientAccount,
+    val route: Route,
+    val pool: Pool,
+    val bundle: BundleVersion,
+    val waiting: WaitingRequest,
+    val call: CallerCall,
+    val firstAttempt: Boolean,
+    val idempotencyKey: IdempotencyKey? = null,
+    val servicePath: String? = null,
+    val stream: Boolean = false
+)
--- /dev/null
+++ b/host/src/main/kotlin/org/hyssoprack/host/AttemptTicket.kt
@@ -0,0 +1,6 @@
+package org.hyssoprack.host
+
+import org.hyssoprack.common.RequestId
+
+/** Identifies one attempt at a request on one host incarnation. */
+data class AttemptTicket(val id: RequestId, val number: Long)
--- /dev/null
+++ b/host/src/main/kotlin/org/hyssoprack/host/CompletionRun.kt
@@ -0,0 +1,173 @@
+package org.hyssoprack.host
+
+import kotlinx.coroutines.CancellationException
+import kotlinx.coroutines.Job
+import kotlinx.coroutines.cancelAndJoin
+import kotlinx.coroutines.channels.ReceiveChannel
+import kotlinx.coroutines.coroutineScope
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
+import org.hyssoprack.backend.EngineCall
+import org.hyssoprack.backend.EngineClient
+import org.hyssoprack.backend.EngineEvent
+import org.hyssoprack.backend.EngineUsage
+import org.hyssoprack.common.Clock
+import org.hyssoprack.common.EventLog
+import org.hyssoprack.common.Failure
+import org.hyssoprack.common.ResultCode
+import org.hyssoprack.common.eq
+import org.hyssoprack.platform.BackendServer
+
+/** Runs one dispatched completion on its engine, to the end of the answer or of the request. */
+internal class CompletionRun(
+    private val request: AdmittedRequest,
+    private val server: BackendServer,
+    private val engines: EngineClient,
+    private val entry: EntryTask,
+    private val clock: Clock,
+    private val log: EventLog
+) {
+    private val measurement = RunMeasurement(clock)
+    private var ending: EngineEvent? = null
+    private var usage = EngineUsage()
+    private var interruption: Failure? = null
+
+    /** Runs the completion; [signals] may preempt and resume it. */
+    suspend fun run(signals: ReceiveChannel<RequestSignal>, sink: AnswerSink): RequestEnd {
+        try {
+            coroutineScope {
+                val stream = launch { collect(sink) }
+                val controls = listOf(
+                    launch { obey(signals, stream) },
+                    launch { enforceDeadline(stream) }
+                )
+                stream.join()
+                controls.forEach { it.cancel() }
+            }
+        } finally {
+            entry.finished(request.id, report())
+        }
+        return end()
+    }
+
+    /** What was measured so far. */
+    fun report() = measurement.report(usage = usage, failed = blamesServer())
+
+    private suspend fun collect(sink: AnswerSink) {
+        engines.complete(server, engineCall()).collect { event ->
+            when (event) {
+                EngineEvent.Accepted -> Unit
+
+                is EngineEvent.Token -> {
+                    measurement.token()?.let { entry.firstToken(request.id, it) }
+                    if (!sink.token(event.data)) callerLeft()
+                }
+
+                is EngineEvent.Finished -> {
+                    usage = event.usage
+                    if (!sink.finished(event.usage)) callerLeft()
+                    ending = event
+                }
+
+                is EngineEvent.Failed -> {
+                    usage = event.usage
+                    ending = event
+                }
+            }
+        }
+    }
+
+    private fun callerLeft(): Nothing {
+        interruption = Failure(ResultCode.CALLER_LEFT_RUNNING, "The caller left.")
+        throw CancellationException("caller left")
+    }
+
+    private suspend fun obey(signals: ReceiveChannel<RequestSignal>, stream: Job) {
+        for (signal in signals) {
+            when (signal) {
+                is RequestSignal.Preempt -> if (signal.suspend) suspendRun() else preempt(stream)
+                RequestSignal.Resume -> resumeRun(stream)
+                is RequestSignal.Dispatch, is RequestSignal.Reject -> Unit
+            }
+        }
+    }
+
+    private suspend fun suspendRun() {
+        engines.suspendRequest(server, request.id).onRight {
+            measurement.suspended()
+            entry.suspended(request.id)
+            log.event("suspended", *fields())
+        }
+    }
+
+    private suspend fun resumeRun(stream: Job) {
+        repeat(RESUME_TRIES) {
+            if (engines.resume(server, request.id).isRight()) {
+                measurement.resumed()
+                log.event("resumed", *fields())
+                return
+            }
+            delay(RESUME_RETRY_DELAY_MS)
+        }
+        interrupt(stream, ResultCode.STREAM_BROKEN, "The engine did not resume the request.")
+    }
+
+    private suspend fun preempt(stream: Job) {
+        log.event("preempted", *fields())
+        interrupt(stream, ResultCode.PREEMPTED, "Its slot was needed for a higher tier.")
+    }
+
+    private suspend fun enforceDeadline(stream: Job) {
+        val waiting = request.waiting
+        delay(waiting.deadlineAtMs + request.route.deadlineMs - clock.nowMs())
+        interrupt(stream, ResultCode.DEADLINE_PASSED_RUNNING, "The answer is far too late.")
+    }
+
+    private suspend fun interrupt(stream: Job, code: ResultCode, detail: String) {
+        if (ending != null) return
+        interruption = Failure(code = code, detail = detail)
+        stream.cancelAndJoin()
+        engines.cancel(server, request.id)
+    }
+
+    private fun engineCall() = EngineCall(
+        requestId = request.id,
+        path = request.call.path,
+        body = request.call.body.decodeToString(),
+        firstTokenTimeoutMs =
+        maxOf(MIN_FIRST_TOKEN_TIMEOUT_MS, request.pool.firstTokenTargetMs * TARGET_MULTIPLE),
+        tokenTimeoutMs =
+        maxOf(MIN_TOKEN_TIMEOUT_MS, request.pool.tokenTargetMs * TARGET_MULTIPLE)
+    )
+
+    private fun blamesServer(): Boolean = interruption == null && ending is EngineEvent.Failed
+
+    private fun end(): RequestEnd {
+        val failure = when (val last = ending) {
+            is EngineEvent.Finished -> null
+            is EngineEvent.Failed -> last.failure
+            else -> interruption ?: Failure(ResultCode.STREAM_BROKEN, "The stream has no end.")
+        }
+        return RequestEnd(
+            failure = failure,
+            inTime = clock.nowMs() <= request.waiting.deadlineAtMs,
+            dispatched = failure?.code != ResultCode.BACKEND_REFUSED,
+            report = report()
+        )
+    }
+
+    private fun fields() = arrayOf(
+        "request" eq request.id,
+        "server" eq server.id,
+        "tier" eq request.route.tier.name,
+        "epoch_ms" eq clock.epochMs()
+    )
+
+    private companion object {
+        const val MIN_FIRST_TOKEN_TIMEOUT_MS = 10_000L
+        const val MIN_TOKEN_TIMEOUT_MS = 2_000L
+        const val TARGET_MULTIPLE = 30
+        const val RESUME_TRIES = 5
+        const val RESUME_RETRY_DELAY_MS = 200L
+    }
+}
--- /dev/null
+++ b/host/src/main/kotlin/org/hyssoprack/host/Drain.kt
@@ -0,0 +1,58 @@
+package org.hyssoprack.host
+
+import java.util.concurrent.atomic.AtomicBoolean
+import java.util.concurrent.atomic.AtomicInteger
+import kotlinx.coroutines.delay
+import org.hyssoprack.common.Clock
+import org.hyssoprack.common.EventLog
+import org.hyssoprack.common.eq
+import org.hyssoprack.membership.Membership
+
+/**
+ * Takes a host out of service without cutting off a request: peers and callers stop choosing it,
+ * new arrivals go to peers for as long as callers may hold its address, and the host ends when
+ * nothing is in progress.
+ */
+class Drain(
+    private val membership: Membership,
+    private val clock: Clock,
+    private val log: EventLog,
+    private val addressTtlMs: Long
+) {
+    private val begun = AtomicBoolean()
+    private val calls = AtomicInteger()
+
+    /** True from the moment at which the host is told to stop. */
+    val isDraining: Boolean get() = begun.get()
+
+    /** Calls of callers in progress on this host, from the first byte to the last. */
+    val inProgress: Int get() = calls.get()
+
+    /** Runs [block] as a call in progress. */
+    suspend fun <T> call(block: suspend () -> T): T {
+        calls.incrementAndGet()
+        try {
+            return block()
+        } finally {
+            calls.decrementAndGet()
+        }
+    }
+
+    /** Begins to drain; a second call changes nothing. */
+    fun begin() {
+        if (!begun.compareAndSet(false, true)) return
+        log.event("drain-begun", "in_progress" eq inProgress)
+        membership.leave()
+    }
+
+    /** Returns when no caller can hold the address any more and nothing is in progress. */
+    suspend fun awaitIdle() {
+        val addressesExpireAtMs = clock.nowMs() + addressTtlMs
+        while (clock.nowMs() < addressesExpireAtMs || inProgress > 0) delay(POLL_MS)
+        log.event("drain-ended")
+    }
+
+    private companion object {
+        const val POLL_MS = 50L
+    }
+}
--- /dev/null
+++ b/host/src/main/kotlin/org/hyssoprack/host/FleetTask.kt
@@ -0,0 +1,93 @@
+package org.hyssoprack.host
+
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.Job
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.flow.MutableStateFlow
+import kotlinx.coroutines.flow.StateFlow
+import kotlinx.coroutines.flow.combine
+import kotlinx.coroutines.flow.distinctUntilChanged
+import kotlinx.coroutines.launch
+import org.hyssoprack.common.BackendServerId
+import org.hyssoprack.common.EventLog
+import org.hyssoprack.common.HostId
+import org.hyssoprack.common.eq
+import org.hyssoprack.membership.MemberView
+import org.hyssoprack.membership.Membership
+import org.hyssoprack.platform.BackendServer
+import org.hyssoprack.platform.HostList
+import org.hyssoprack.scheduling.Fleet
+import org.hyssoprack.settings.BundleHolder
+
+/**
+ * Keeps the fleet up to date: polls the host list and follows the members and the bundle. While the
+ * host list cannot be read, the last list stays in use.
+ */
+class FleetTask(
+    private val hostList: HostList,
+    private val membership: Membership,
+    private val bundles: BundleHolder,
+    private val builder: FleetBuilder,
+    private val log: EventLog,
+    private val onFleet: (Fleet) -> Unit
+) {
+    private val servers = MutableStateFlow<Map<BackendServerId, BackendServer>>(emptyMap())
+    private val unavailable = MutableStateFlow<Set<BackendServerId>>(emptySet())
+    private val current = MutableStateFlow<Fleet?>(null)
+
+    /** The fleet in use, or null before the first one. */
+    val fleet: StateFlow<Fleet?> = current
+
+    /** The entry of the host list for [id], or null. */
+    fun server(id: BackendServerId): BackendServer? = servers.value[id]
+
+    /** Servers that [self] owns. */
+    fun owned(self: HostId): List<BackendServer> {
+        val fleet = current.value ?: return emptyList()
+        return fleet.servers.values.filter { it.owner == self }.mapNotNull { server(it.id) }
+    }
+
+    /** Notes whether the owner finds that a server can take work. */
+    fun setAvailable(id: BackendServerId, available: Boolean) {
+        unavailable.value = if (available) unavailable.value - id else unavailable.value + id
+    }
+
+    /** Starts the task in [scope]. */
+    fun start(scope: CoroutineScope): Job = scope.launch {
+        launch { pollHostList() }
+        combine(
+            servers,
+            unavailable,
+            membership.view.distinctUntilChanged(::sameOwners),
+            bundles.active
+        ) {
+                list,
+                away,
+                view,
+                bundle
+            ->
+            bundle?.let { builder.build(list.values, away, view, it.policy) }
+        }.collect { fleet ->
+            if (fleet == null || fleet == current.value) return@collect
+            current.value = fleet
+            onFleet(fleet)
+        }
+    }
+
+    private suspend fun pollHostList() {
+        while (true) {
+            hostList.backendServers().fold(
+                { log.event("host-list-unreadable", "code" eq it.code.number) },
+                { list -> servers.value = list.associateBy { it.id } }
+            )
+            delay(HOST_LIST_POLL_MS)
+        }
+    }
+
+    private fun sameOwners(a: MemberView, b: MemberView): Boolean =
+        a.live().map { it.ref } == b.live().map { it.ref }
+
+    private companion object {
+        const val HOST_LIST_POLL_MS = 500L
+    }
+}
