Make slot messages idempotent and let owners echo the sender's time

A doubled Return would have been subtracted twice, and a doubled Preempt would have preempted two requests. Both now carry the number that is left, which never grows during the life of a lease. Ask, Renew and ShedCheck carry the sender's time and the answers echo it, so that the term of a lease or a verdict is counted from a moment that is never too late. A Digest answers each Renew. Grant says whether the slots may be kept.

--- a/core/scheduling/src/main/kotlin/org/hyssoprack/scheduling/HeldLease.kt
+++ b/core/scheduling/src/main/kotlin/org/hyssoprack/scheduling/HeldLease.kt
@@ -1,8 +1,15 @@
 package org.hyssoprack.scheduling
 
+import kotlinx.serialization.SerialName
 import kotlinx.serialization.Serializable
 import org.hyssoprack.common.TierRank
 
 /** A lease as its holder sees it: how many slots it still holds, and how many of them are in use. */
 @Serializable
-data class HeldLease(val lease: LeaseId, val tier: TierRank, val held: Int, val inUse: Int)
+data class HeldLease(
+    @SerialName("i") val lease: LeaseId,
+    @SerialName("t") val tier: TierRank,
+    @SerialName("c") val held: Int,
+    @SerialName("u") val inUse: Int,
+    @SerialName("l") val long: Boolean = false
+)
--- a/core/scheduling/src/main/kotlin/org/hyssoprack/scheduling/ServerDigest.kt
+++ b/core/scheduling/src/main/kotlin/org/hyssoprack/scheduling/ServerDigest.kt
@@ -1,5 +1,6 @@
 package org.hyssoprack.scheduling
 
+import kotlinx.serialization.SerialName
 import kotlinx.serialization.Serializable
 
 /**
@@ -11,14 +12,15 @@
  * @property firstTokenMs estimated time to the first token of a short prompt, in milliseconds.
  * @property tokenMs estimated time between tokens, in milliseconds.
  * @property prefillTokensPerMs estimated rate of prompt processing.
+ * @property reportedLoad running and queued requests by the server's own, stale report.
  */
 @Serializable
 data class ServerDigest(
-    val limit: Int,
-    val lent: Int,
-    val waiting: List<Int>,
-    val firstTokenMs: Double,
-    val tokenMs: Double,
-    val prefillTokensPerMs: Double,
-    val reportedLoad: Int = 0
+    @SerialName("l") val limit: Int,
+    @SerialName("h") val lent: Int,
+    @SerialName("w") val waiting: List<Int>,
+    @SerialName("f") val firstTokenMs: Double,
+    @SerialName("t") val tokenMs: Double,
+    @SerialName("p") val prefillTokensPerMs: Double,
+    @SerialName("r") val reportedLoad: Int = 0
 )
--- a/core/scheduling/src/main/kotlin/org/hyssoprack/scheduling/ServerSample.kt
+++ b/core/scheduling/src/main/kotlin/org/hyssoprack/scheduling/ServerSample.kt
@@ -1,5 +1,6 @@
 package org.hyssoprack.scheduling
 
+import kotlinx.serialization.SerialName
 import kotlinx.serialization.Serializable
 
 /**
@@ -13,9 +14,9 @@
  */
 @Serializable
 data class ServerSample(
-    val requests: Int,
-    val firstTokenMs: Double,
-    val tokenMs: Double,
-    val prefillTokens: Long,
-    val failures: Int = 0
+    @SerialName("n") val requests: Int,
+    @SerialName("f") val firstTokenMs: Double,
+    @SerialName("t") val tokenMs: Double,
+    @SerialName("p") val prefillTokens: Long,
+    @SerialName("x") val failures: Int = 0
 )
--- a/core/scheduling/src/main/kotlin/org/hyssoprack/scheduling/SlotMessage.kt
+++ b/core/scheduling/src/main/kotlin/org/hyssoprack/scheduling/SlotMessage.kt
@@ -11,94 +11,151 @@
 /**
  * Messages about slots between entry hosts and owners. Each may be lost, late or doubled; none of
  * that may lead to a second dispatch or to a slot that is lost for good.
+ *
+ * `sentAtMs` is a time on the entry host's clock. The owner echoes it in its answer, so that the
+ * entry host can count lease terms and verdicts from a moment that is never too late.
  */
 @Serializable
 sealed interface SlotMessage : HostMessage {
-    /** Entry to owner: registers a waiting request; repeated as long as it waits. */
+    /**
+     * Entry to owner: registers a waiting request; repeated as long as it waits.
+     *
+     * @property slackMs time that is left until the latest useful dispatch, in milliseconds.
+     * @property urgent whether a running request of a lower tier shall be preempted for this one.
+     * @property resuming lease on which the request ran before it was suspended.
+     */
     @Serializable
     @SerialName("sa")
     data class Ask(
-        val server: BackendServerId,
-        val requestId: RequestId,
-        val tier: TierRank,
-        val account: ClientAccount,
-        val share: Int,
-        val slackMs: Long,
-        val long: Boolean,
-        val resuming: LeaseId? = null
+        @SerialName("s") val server: BackendServerId,
+        @SerialName("r") val requestId: RequestId,
+        @SerialName("t") val tier: TierRank,
+        @SerialName("a") val account: ClientAccount,
+        @SerialName("h") val share: Int,
+        @SerialName("k") val slackMs: Long,
+        @SerialName("l") val long: Boolean,
+        @SerialName("m") val sentAtMs: Long,
+        @SerialName("u") val urgent: Boolean = false,
+        @SerialName("e") val resuming: LeaseId? = null
     ) : SlotMessage
 
-    /** Entry to owner: asks for a block of slots for requests of a tier that are expected. */
+    /** Entry to owner: asks for a block of slots for short requests of a tier that are expected. */
     @Serializable
     @SerialName("sb")
-    data class AskBlock(val server: BackendServerId, val tier: TierRank, val count: Int) :
-        SlotMessage
+    data class AskBlock(
+        @SerialName("s") val server: BackendServerId,
+        @SerialName("t") val tier: TierRank,
+        @SerialName("c") val count: Int,
+        @SerialName("m") val sentAtMs: Long
+    ) : SlotMessage
 
     /** Entry to owner: the request no longer waits here. */
     @Serializable
     @SerialName("sw")
-    data class Withdraw(val server: BackendServerId, val requestId: RequestId) : SlotMessage
+    data class Withdraw(
+        @SerialName("s") val server: BackendServerId,
+        @SerialName("r") val requestId: RequestId
+    ) : SlotMessage
 
     /**
-     * Owner to entry: lends [count] slots for [termMs] milliseconds. [requestId] names the
-     * registered request that the slot is meant for, and is null for a block.
+     * Owner to entry: lends [count] slots for [termMs] milliseconds from [askedAtMs]. [requestId]
+     * names the registered request that the slot is meant for, and is null for a block.
+     *
+     * @property askedAtMs `sentAtMs` of the last ask that the owner has heard.
+     * @property long whether the slot counts as one of those that long requests may hold.
+     * @property keep whether the holder may keep the slots for further requests of the tier; else
+     *   each slot goes back when its request has ended.
      */
     @Serializable
     @SerialName("sg")
     data class Grant(
-        val server: BackendServerId,
-        val lease: LeaseId,
-        val tier: TierRank,
-        val count: Int,
-        val termMs: Long,
-        val requestId: RequestId? = null
+        @SerialName("s") val server: BackendServerId,
+        @SerialName("i") val lease: LeaseId,
+        @SerialName("t") val tier: TierRank,
+        @SerialName("c") val count: Int,
+        @SerialName("p") val termMs: Long,
+        @SerialName("m") val askedAtMs: Long,
+        @SerialName("r") val requestId: RequestId? = null,
+        @SerialName("l") val long: Boolean = false,
+        @SerialName("k") val keep: Boolean = false
     ) : SlotMessage
 
-    /** Entry to owner: gives back [count] slots of a lease. */
+    /**
+     * Entry to owner: of this lease the holder now keeps only [held] slots. The number of held slots
+     * never grows during the life of a lease, so the lowest number heard is the right one.
+     */
     @Serializable
     @SerialName("sr")
-    data class Return(val server: BackendServerId, val lease: LeaseId, val count: Int) : SlotMessage
+    data class Return(
+        @SerialName("s") val server: BackendServerId,
+        @SerialName("i") val lease: LeaseId,
+        @SerialName("c") val held: Int
+    ) : SlotMessage
 
     /** Entry to owner: keeps leases alive, and reports what was measured on their server. */
     @Serializable
     @SerialName("sn")
     data class Renew(
-        val server: BackendServerId,
-        val leases: List<HeldLease>,
-        val sample: ServerSample? = null
+        @SerialName("s") val server: BackendServerId,
+        @SerialName("l") val leases: List<HeldLease>,
+        @SerialName("m") val sentAtMs: Long,
+        @SerialName("p") val sample: ServerSample? = null
     ) : SlotMessage
 
-    /** Owner to entry: give back the unused slots of these leases now. */
+    /**
+     * Owner to entry: give back the unused slots of these leases now, and the others when their
+     * requests have ended. A lease that the entry does not hold is answered by a [Return] of it.
+     */
     @Serializable
     @SerialName("sc")
-    data class Recall(val server: BackendServerId, val leases: List<LeaseId>) : SlotMessage
+    data class Recall(
+        @SerialName("s") val server: BackendServerId,
+        @SerialName("l") val leases: List<LeaseId>
+    ) : SlotMessage
 
-    /** Owner to entry: make room by preempting one request that runs on this lease. */
+    /** Owner to entry: preempt requests that run on this lease until it holds [keep] slots. */
     @Serializable
     @SerialName("sp")
-    data class Preempt(val server: BackendServerId, val lease: LeaseId) : SlotMessage
+    data class Preempt(
+        @SerialName("s") val server: BackendServerId,
+        @SerialName("i") val lease: LeaseId,
+        @SerialName("k") val keep: Int
+    ) : SlotMessage
 
-    /** Entry to owner: may [requestId] be shed, or does a lower tier hold a slot there? */
+    /**
+     * Entry to owner: may requests like [requestId] be shed, or does a lower tier hold a slot there
+     * that they could use? Registers the tier as waiting until the verdict has lapsed.
+     */
     @Serializable
     @SerialName("sq")
     data class ShedCheck(
-        val server: BackendServerId,
-        val requestId: RequestId,
-        val tier: TierRank,
-        val long: Boolean
+        @SerialName("s") val server: BackendServerId,
+        @SerialName("r") val requestId: RequestId,
+        @SerialName("t") val tier: TierRank,
+        @SerialName("l") val long: Boolean,
+        @SerialName("m") val sentAtMs: Long
     ) : SlotMessage
 
-    /** Owner to entry: answer to [ShedCheck]. */
+    /**
+     * Owner to entry: answer to [ShedCheck]. It holds for [termMs] milliseconds from [checkedAtMs];
+     * until then the owner lends nothing to a lower tier that the checked request could use.
+     */
     @Serializable
     @SerialName("sv")
     data class ShedVerdict(
-        val server: BackendServerId,
-        val requestId: RequestId,
-        val lowerTierHoldsSlot: Boolean
+        @SerialName("s") val server: BackendServerId,
+        @SerialName("r") val requestId: RequestId,
+        @SerialName("w") val lowerTierHoldsSlot: Boolean,
+        @SerialName("m") val checkedAtMs: Long,
+        @SerialName("p") val termMs: Long
     ) : SlotMessage
 
-    /** Owner to interested entries: state of a backend server, for routing. */
+    /** Owner to entry: state of a backend server, as the answer to the [Renew] of [renewedAtMs]. */
     @Serializable
     @SerialName("sd")
-    data class Digest(val server: BackendServerId, val state: ServerDigest) : SlotMessage
+    data class Digest(
+        @SerialName("s") val server: BackendServerId,
+        @SerialName("d") val state: ServerDigest,
+        @SerialName("m") val renewedAtMs: Long
+    ) : SlotMessage
 }
