Lend slots between owners and entry hosts

DefaultEntryScheduler asks, dispatches once, renews, gives back, and sheds only while every owner vouches that no lower tier holds a usable slot.

--- /dev/null
+++ b/core/scheduling/src/main/kotlin/org/hyssoprack/scheduling/Asking.kt
@@ -0,0 +1,94 @@
+package org.hyssoprack.scheduling
+
+import org.hyssoprack.common.BackendServerId
+
+/** Registers waiting requests with owners: first the best servers, then more and more of them. */
+internal class Asking(private val state: EntryState) {
+    private val settings = state.settings
+
+    /** Asks the first servers of [ranked] for a new request. */
+    fun ask(nowMs: Long, entry: EntryRequest, ranked: List<FleetServer>) {
+        entry.width = settings.firstOwners
+        entry.widenAtMs = nowMs + settings.wideningDelayMs
+        askServers(nowMs, entry, ranked.take(entry.width))
+    }
+
+    /** Asks the owner of the server that holds the suspended request's state. */
+    fun askToResume(nowMs: Long, entry: EntryRequest) {
+        val server = entry.server?.let { state.servers.find(it) } ?: return
+        askServers(nowMs, entry, listOf(server))
+    }
+
+    fun withdraw(entry: EntryRequest) {
+        entry.asked.keys.forEach { state.sendToOwner(it, SlotMessage.Withdraw(it, entry.id)) }
+        entry.asked.clear()
+    }
+
+    /** Repeats and widens the asks that are due. */
+    fun tick(nowMs: Long) {
+        state.requests.waiting().filter { nowMs >= it.nextAskMs || nowMs >= it.widenAtMs }.forEach {
+            repeat(nowMs, it)
+        }
+        state.requests.suspended().filter { nowMs >= it.nextAskMs }.forEach {
+            askToResume(nowMs, it)
+        }
+    }
+
+    private fun repeat(nowMs: Long, entry: EntryRequest) {
+        if (nowMs >= entry.widenAtMs) widen(nowMs, entry)
+        val ranked = state.rank(nowMs, entry)
+        if (ranked.isEmpty()) return
+        entry.latestDispatchAtMs = state.latestDispatch(nowMs, entry, ranked.first())
+        val chosen = ranked.take(entry.width)
+        val known = entry.asked.keys.mapNotNull { state.servers.find(it) }.filter { !it.leaving }
+        askServers(nowMs, entry, (chosen + known).distinct())
+    }
+
+    private fun widen(nowMs: Long, entry: EntryRequest) {
+        entry.width = minOf(entry.width * 2, settings.candidateLimit)
+        val done = entry.width == settings.candidateLimit
+        entry.widenAtMs = if (done) Long.MAX_VALUE else nowMs + settings.wideningDelayMs
+    }
+
+    private fun askServers(nowMs: Long, entry: EntryRequest, servers: List<FleetServer>) {
+        entry.nextAskMs = nowMs + settings.askRepeatMs
+        val urgent = urgentServer(nowMs, entry, servers)
+        servers.forEach {
+            val ask = message(nowMs, entry, it, it.id == urgent)
+            entry.asked[it.id] = nowMs
+            state.send(it.owner, ask)
+        }
+    }
+
+    /** The one server on which a lower tier shall make room now, or null. */
+    private fun urgentServer(
+        nowMs: Long,
+        entry: EntryRequest,
+        servers: List<FleetServer>
+    ): BackendServerId? {
+        val pool = state.servers.pool(entry.request.pool) ?: return null
+        if (servers.isEmpty() || !isUrgent(nowMs, entry, pool.preemptAfterMs)) return null
+        return servers[entry.urgentTurn++ % servers.size].id
+    }
+
+    private fun isUrgent(nowMs: Long, entry: EntryRequest, preemptAfterMs: Long): Boolean =
+        entry.shedCause != null || nowMs - entry.waitingSinceMs >= preemptAfterMs
+
+    private fun message(
+        nowMs: Long,
+        entry: EntryRequest,
+        server: FleetServer,
+        urgent: Boolean
+    ): SlotMessage.Ask = SlotMessage.Ask(
+        server = server.id,
+        requestId = entry.id,
+        tier = entry.request.tier,
+        account = entry.request.account,
+        share = entry.request.share,
+        slackMs = entry.latestDispatchAtMs - nowMs,
+        long = entry.kind.long,
+        sentAtMs = nowMs,
+        urgent = urgent,
+        resuming = if (entry.phase == RequestPhase.SUSPENDED) entry.lastLease else null
+    )
+}
--- /dev/null
+++ b/core/scheduling/src/main/kotlin/org/hyssoprack/scheduling/DefaultEntryScheduler.kt
@@ -0,0 +1,139 @@
+package org.hyssoprack.scheduling
+
+import org.hyssoprack.common.BackendServerId
+import org.hyssoprack.common.Failure
+import org.hyssoprack.common.FailureDomain
+import org.hyssoprack.common.HostRef
+import org.hyssoprack.common.RequestId
+import org.hyssoprack.common.ResultCode
+
+/** Schedules the requests of the entry host [self], which lies in [ownDomain]. */
+class DefaultEntryScheduler(
+    self: HostRef,
+    ownDomain: FailureDomain,
+    settings: SchedulingSettings = SchedulingSettings()
+) : EntryScheduler {
+    private val state = EntryState(self, ownDomain, settings)
+    private val slots = EntrySlots(state)
+    private val asking = Asking(state)
+    private val shedding = Shedding(state, asking)
+    private val renewals = Renewals(state)
+
+    override fun submit(nowMs: Long, request: WaitingRequest): List<EntryOutput> {
+        if (state.requests.isKnown(request.id)) return emptyList()
+        val pool = state.servers.pool(request.pool)
+        if (pool == null || state.servers.ofPool(request.pool).isEmpty()) {
+            return listOf(EntryOutput.Reject(request.id, noBackendServer()))
+        }
+        val long = request.completionTokens >= state.settings.longCompletionTokens
+        val entry = EntryRequest(request, SlotKind(request.pool, request.tier, long))
+        state.requests.add(entry)
+        val ranked = state.rank(nowMs, entry)
+        entry.latestDispatchAtMs = state.latestDispatch(nowMs, entry, ranked.first())
+        if (!slots.dispatchOnIdle(nowMs, entry, ranked.first())) {
+            if (state.requests.waitingBeside(entry.kind) > pool.queueLimit) {
+                shedding.begin(nowMs, entry, ResultCode.QUEUE_FULL)
+            }
+            asking.ask(nowMs, entry, ranked)
+        }
+        return state.takeOutputs()
+    }
+
+    override fun firstToken(nowMs: Long, id: RequestId, elapsedMs: Long): List<EntryOutput> {
+        state.requests.find(id)?.hasFirstToken = true
+        return emptyList()
+    }
+
+    override fun finished(nowMs: Long, id: RequestId, report: FinishReport): List<EntryOutput> {
+        val entry = state.requests.find(id) ?: return emptyList()
+        if (entry.phase == RequestPhase.WAITING) return emptyList()
+        state.measured(nowMs, entry, report)
+        state.requests.ended(nowMs, entry)
+        if (entry.phase == RequestPhase.SUSPENDED) asking.withdraw(entry)
+        slots.release(nowMs, entry)
+        return state.takeOutputs()
+    }
+
+    override fun suspended(nowMs: Long, id: RequestId): List<EntryOutput> {
+        val entry = state.requests.find(id) ?: return emptyList()
+        if (entry.phase != RequestPhase.RUNNING) return emptyList()
+        entry.phase = RequestPhase.SUSPENDED
+        entry.preempting = false
+        entry.waitingSinceMs = nowMs
+        slots.release(nowMs, entry)
+        asking.askToResume(nowMs, entry)
+        return state.takeOutputs()
+    }
+
+    override fun giveUp(nowMs: Long, id: RequestId): List<EntryOutput>? {
+        val entry = state.requests.find(id) ?: return null
+        if (entry.phase != RequestPhase.WAITING) return null
+        state.requests.drop(entry)
+        asking.withdraw(entry)
+        return state.takeOutputs()
+    }
+
+    override fun receive(nowMs: Long, from: HostRef, message: SlotMessage): List<EntryOutput> {
+        when (message) {
+            is SlotMessage.Grant -> slots.granted(nowMs, from, message)
+            is SlotMessage.Recall -> slots.recalled(nowMs, from, message)
+            is SlotMessage.Preempt -> slots.preempt(nowMs, message)
+            is SlotMessage.ShedVerdict -> shedding.receive(nowMs, message)
+            is SlotMessage.Digest -> renewals.confirmed(nowMs, message)
+            is SlotMessage.Ask,
+            is SlotMessage.AskBlock,
+            is SlotMessage.Withdraw,
+            is SlotMessage.Return,
+            is SlotMessage.Renew,
+            is SlotMessage.ShedCheck -> Unit
+        }
+        return state.takeOutputs()
+    }
+
+    override fun updateFleet(nowMs: Long, fleet: Fleet): List<EntryOutput> {
+        val before = state.fleet
+        state.changeFleet(fleet)
+        renewals.ownersChanged(nowMs, before)
+        slots.fleetChanged(nowMs)
+        state.requests.waiting().filter {
+            state.servers.ofPool(it.request.pool).isEmpty()
+        }.forEach {
+            state.reject(it, noBackendServer())
+            asking.withdraw(it)
+        }
+        return state.takeOutputs()
+    }
+
+    override fun cacheChanged(server: BackendServerId, prefixHash: Long, stored: Boolean) {
+        state.prefixes.changed(server, prefixHash, stored)
+    }
+
+    override fun tick(nowMs: Long): List<EntryOutput> {
+        slots.tick(nowMs)
+        renewals.tick(nowMs)
+        asking.tick(nowMs)
+        shedding.tick(nowMs)
+        state.requests.forgetEnded(nowMs)
+        return state.takeOutputs()
+    }
+
+    override fun inProgress(): Int = state.requests.size
+
+    override fun rejectWaiting(nowMs: Long, failure: Failure): List<EntryOutput> {
+        state.requests.waiting().forEach {
+            state.reject(it, failure)
+            asking.withdraw(it)
+        }
+        return state.takeOutputs()
+    }
+
+    private fun noBackendServer(): Failure = Failure(
+        code = ResultCode.NO_BACKEND_SERVER,
+        detail = "the pool has no backend server that takes work",
+        retryAfterMs = RETRY_AFTER_MS
+    )
+
+    private companion object {
+        const val RETRY_AFTER_MS = 1_000L
+    }
+}
--- /dev/null
+++ b/core/scheduling/src/main/kotlin/org/hyssoprack/scheduling/EntryRequest.kt
@@ -0,0 +1,32 @@
+package org.hyssoprack.scheduling
+
+import org.hyssoprack.common.BackendServerId
+import org.hyssoprack.common.ResultCode
+
+/**
+ * A request in progress on its entry host.
+ *
+ * @property asked when each server's owner was asked last.
+ * @property shedCause why the request shall be shed as soon as that is allowed; null while it waits.
+ */
+internal class EntryRequest(val request: WaitingRequest, val kind: SlotKind) {
+    var phase = RequestPhase.WAITING
+    val asked = LinkedHashMap<BackendServerId, Long>()
+    var nextAskMs = 0L
+    var width = 0
+    var widenAtMs = 0L
+    var urgentTurn = 0
+    var waitingSinceMs = request.arrivedAtMs
+    var latestDispatchAtMs = request.deadlineAtMs
+    var shedCause: ResultCode? = null
+    var shedSinceMs = 0L
+
+    var server: BackendServerId? = null
+    var lease: EntryLease? = null
+    var lastLease: LeaseId? = null
+    var dispatchedAtMs = 0L
+    var hasFirstToken = false
+    var preempting = false
+
+    val id get() = request.id
+}
--- /dev/null
+++ b/core/scheduling/src/main/kotlin/org/hyssoprack/scheduling/EntrySlots.kt
@@ -0,0 +1,159 @@
+package org.hyssoprack.scheduling
+
+import org.hyssoprack.common.HostRef
+
+/** Uses the slots that an entry host holds: dispatches on them, keeps them, gives them back. */
+internal class EntrySlots(private val state: EntryState) {
+    private val requests = state.requests
+    private val leases = state.leases
+
+    /** Dispatches [entry] if an idle slot of [server] is at hand. */
+    fun dispatchOnIdle(nowMs: Long, entry: EntryRequest, server: FleetServer): Boolean {
+        val lease = leases.usable(nowMs, server.id, entry.kind) ?: return false
+        dispatch(nowMs, entry, lease)
+        return true
+    }
+
+    fun granted(nowMs: Long, from: HostRef, grant: SlotMessage.Grant) {
+        if (leases.find(grant.server, grant.lease) != null) return
+        val server = state.servers.find(grant.server)
+        val lapsesAtMs = grant.askedAtMs + grant.termMs
+        if (leases.isClosed(grant.lease) || server == null || lapsesAtMs <= nowMs) {
+            state.send(from.host, leases.refuse(nowMs, grant.server, grant.lease))
+            return
+        }
+        val lease = EntryLease(
+            id = grant.lease,
+            server = grant.server,
+            kind = SlotKind(server.pool, grant.tier, grant.long),
+            receivedAtMs = nowMs,
+            keepable = grant.keep,
+            held = grant.count,
+            lapsesAtMs = lapsesAtMs
+        )
+        leases.add(lease)
+        val named = grant.requestId?.let { requests.find(it) }
+        if (named != null) useFor(nowMs, named, lease)
+        useUp(nowMs, lease)
+    }
+
+    private fun useFor(nowMs: Long, entry: EntryRequest, lease: EntryLease) {
+        if (entry.kind != lease.kind || !lease.isUsable(nowMs)) return
+        if (isPastDeadline(nowMs, entry)) return
+        when (entry.phase) {
+            RequestPhase.WAITING -> dispatch(nowMs, entry, lease)
+            RequestPhase.SUSPENDED -> if (entry.server == lease.server) resume(entry, lease)
+            RequestPhase.RUNNING -> Unit
+        }
+    }
+
+    /** Uses idle slots of [lease] for waiting requests; gives back those that must not be kept. */
+    private fun useUp(nowMs: Long, lease: EntryLease) {
+        while (lease.isUsable(nowMs) && !isLeaving(lease)) {
+            val entry = requests.next(lease.kind) ?: break
+            if (isPastDeadline(nowMs, entry)) break
+            dispatch(nowMs, entry, lease)
+        }
+        val mayKeep = lease.keepable && lease.held <= lease.keep && !isLeaving(lease)
+        if (!mayKeep || nowMs >= lease.lapsesAtMs) giveBackIdle(nowMs, lease)
+    }
+
+    private fun isPastDeadline(nowMs: Long, entry: EntryRequest): Boolean =
+        nowMs >= entry.request.deadlineAtMs
+
+    private fun isLeaving(lease: EntryLease): Boolean =
+        state.servers.find(lease.server)?.leaving ?: true
+
+    private fun dispatch(nowMs: Long, entry: EntryRequest, lease: EntryLease) {
+        occupy(entry, lease)
+        entry.dispatchedAtMs = nowMs
+        requests.dispatched(entry)
+        state.add(EntryOutput.Dispatch(entry.id, lease.server))
+        withdrawElsewhere(entry, lease)
+        entry.request.prefixHash?.let { state.prefixes.changed(lease.server, it, stored = true) }
+    }
+
+    private fun resume(entry: EntryRequest, lease: EntryLease) {
+        occupy(entry, lease)
+        entry.asked.clear()
+        state.add(EntryOutput.Resume(entry.id, lease.server))
+    }
+
+    private fun occupy(entry: EntryRequest, lease: EntryLease) {
+        lease.inUse++
+        entry.phase = RequestPhase.RUNNING
+        entry.server = lease.server
+        entry.lease = lease
+    }
+
+    private fun withdrawElsewhere(entry: EntryRequest, lease: EntryLease) {
+        entry.asked.keys.filter { it != lease.server }.forEach {
+            state.sendToOwner(it, SlotMessage.Withdraw(it, entry.id))
+        }
+        entry.asked.clear()
+    }
+
+    /** Frees the slot of a request that ended or was suspended. */
+    fun release(nowMs: Long, entry: EntryRequest) {
+        val lease = entry.lease ?: return
+        entry.lease = null
+        entry.lastLease = lease.id
+        lease.inUse--
+        lease.idleSinceMs = nowMs
+        if (lease.keepable) return useUp(nowMs, lease)
+        giveBackIdle(nowMs, lease)
+    }
+
+    fun recalled(nowMs: Long, from: HostRef, message: SlotMessage.Recall) {
+        for (id in message.leases) {
+            val lease = leases.find(message.server, id)
+            if (lease == null) {
+                state.send(from.host, leases.refuse(nowMs, message.server, id))
+                continue
+            }
+            lease.keepable = false
+            giveBackIdle(nowMs, lease)
+        }
+    }
+
+    fun preempt(nowMs: Long, message: SlotMessage.Preempt) {
+        val lease = leases.find(message.server, message.lease) ?: return
+        lease.keep = minOf(lease.keep, message.keep)
+        val idle = minOf(lease.idle, lease.held - lease.keep)
+        if (idle > 0) state.sendToOwner(lease.server, leases.giveBack(nowMs, lease, idle))
+        val running = requests.runningOn(lease)
+        val wanted = lease.held - lease.keep - running.count { it.preempting }
+        if (wanted <= 0) return
+        val victims = running.filter { !it.preempting && !it.request.once }
+        victims.sortedWith(leastWasteFirst(nowMs)).take(wanted).forEach { preemptOne(it) }
+    }
+
+    private fun leastWasteFirst(nowMs: Long): Comparator<EntryRequest> =
+        compareBy<EntryRequest> { if (it.hasFirstToken) 1 else 0 }
+            .thenBy { state.prefixes.uncachedTokens(it) }
+            .thenBy { nowMs - it.dispatchedAtMs }
+
+    private fun preemptOne(entry: EntryRequest) {
+        val server = entry.server ?: return
+        entry.preempting = true
+        val suspend = state.servers.find(server)?.canSuspend ?: false
+        state.add(EntryOutput.Preempt(entry.id, server, suspend))
+    }
+
+    fun fleetChanged(nowMs: Long) {
+        leases.all().filter { isLeaving(it) }.forEach { giveBackIdle(nowMs, it) }
+    }
+
+    fun tick(nowMs: Long) {
+        leases.all().filter { it.idle > 0 }.forEach {
+            val unused = nowMs - it.idleSinceMs >= state.settings.blockIdleMs
+            if (unused || nowMs >= it.lapsesAtMs) giveBackIdle(nowMs, it)
+        }
+        leases.forgetClosed(nowMs)
+    }
+
+    private fun giveBackIdle(nowMs: Long, lease: EntryLease) {
+        if (lease.idle <= 0) return
+        state.sendToOwner(lease.server, leases.giveBack(nowMs, lease, lease.idle))
+    }
+}
--- /dev/null
+++ b/core/scheduling/src/main/kotlin/org/hyssoprack/scheduling/LeaseBook.kt
@@ -0,0 +1,56 @@
+package org.hyssoprack.scheduling
+
+import org.hyssoprack.common.BackendServerId
+
+/** The leases that an entry host holds. */
+internal class LeaseBook(private val settings: SchedulingSettings) {
+    private val byServer = HashMap<BackendServerId, LinkedHashMap<LeaseId, EntryLease>>()
+    private val closed = ClosedLeases(settings.unansweredLeaseMs)
+
+    val servers: Set<BackendServerId> get() = byServer.keys
+
+    fun find(server: BackendServerId, id: LeaseId): EntryLease? = byServer[server]?.get(id)
+
+    fun isClosed(id: LeaseId): Boolean = id in closed
+
+    fun of(server: BackendServerId): Collection<EntryLease> = byServer[server]?.values.orEmpty()
+
+    fun all(): List<EntryLease> = byServer.values.flatMap { it.values }
+
+    /** A lease of [server] with an idle slot for [kind], or null. */
+    fun usable(nowMs: Long, server: BackendServerId, kind: SlotKind): EntryLease? =
+        of(server).firstOrNull { it.kind == kind && it.isUsable(nowMs) }
+
+    fun add(lease: EntryLease) {
+        byServer.getOrPut(lease.server) { LinkedHashMap() }[lease.id] = lease
+    }
+
+    /** Gives up [count] idle slots of [lease]; the message tells the owner. */
+    fun giveBack(nowMs: Long, lease: EntryLease, count: Int): SlotMessage.Return {
+        lease.held -= count
+        if (lease.held == 0) remove(nowMs, lease)
+        return SlotMessage.Return(server = lease.server, lease = lease.id, held = lease.held)
+    }
+
+    /** Refuses a lease that is not in the book, now and whenever it comes again. */
+    fun refuse(nowMs: Long, server: BackendServerId, id: LeaseId): SlotMessage.Return {
+        closed.add(nowMs, id)
+        return SlotMessage.Return(server = server, lease = id, held = 0)
+    }
+
+    /** Extends the leases that were held when the renewal of [sentAtMs] was sent. */
+    fun confirm(server: BackendServerId, sentAtMs: Long) {
+        of(server).filter { it.receivedAtMs < sentAtMs }.forEach {
+            it.lapsesAtMs = maxOf(it.lapsesAtMs, sentAtMs + settings.leaseTermMs)
+        }
+    }
+
+    fun forgetClosed(nowMs: Long) = closed.forget(nowMs)
+
+    private fun remove(nowMs: Long, lease: EntryLease) {
+        val leases = byServer[lease.server] ?: return
+        leases.remove(lease.id)
+        if (leases.isEmpty()) byServer.remove(lease.server)
+        closed.add(nowMs, lease.id)
+    }
+}
--- /dev/null
+++ b/core/scheduling/src/test/kotlin/org/hyssoprack/scheduling/Model.kt
@@ -0,0 +1,282 @@
+package org.hyssoprack.scheduling
+
+import java.util.Random
+import org.hyssoprack.common.BackendServerId
+import org.hyssoprack.common.ClientAccount
+import org.hyssoprack.common.FailureDomain
+import org.hyssoprack.common.Generation
+import org.hyssoprack.common.HostId
+import org.hyssoprack.common.HostRef
+import org.hyssoprack.common.Incarnation
+import org.hyssoprack.common.RequestId
+import org.hyssoprack.common.ResultCode
+import org.hyssoprack.common.TierName
+import org.hyssoprack.common.TierRank
+import org.hyssoprack.policy.Tier
+
+/** Several hosts and servers in one thread, with a network that delays, drops and doubles. */
+class Model(seed: Long, private val settings: ModelSettings) {
+    private val random = Random(seed)
+    private val scheduling = SchedulingSettings()
+    private val packets = ArrayList<Packet>()
+    private val hosts = (0 until settings.hosts).map { Host(it) }.toMutableList()
+    private val owners = IntArray(settings.servers) { it % settings.hosts }
+    private val leaving = HashSet<Int>()
+    private var counter = 0
+    val requests = LinkedHashMap<RequestId, ModelRequest>()
+    val faults = ArrayList<String>()
+    var faulty = true
+    var nowMs = 10_000L
+        private set
+
+    init {
+        changeFleet()
+        run(scheduling.leaseTermMs + STEP_MS)
+    }
+
+    /** Submits a request on the host with index [host] and returns its id. */
+    fun submit(
+        host: Int,
+        tier: Int,
+        runsMs: Long = 200,
+        deadlineMs: Long = 3_000,
+        account: String = "a",
+        once: Boolean = false,
+        long: Boolean = false
+    ): RequestId? {
+        val target = hosts[host]
+        if (!target.alive) return null
+        val request = WaitingRequest(
+            id = RequestId.of(target.ref, "r${counter++}"),
+            account = ClientAccount(account),
+            share = 1,
+            tier = TierRank(tier),
+            pool = settings.pool.name,
+            arrivedAtMs = nowMs,
+            deadlineAtMs = nowMs + deadlineMs,
+            completionTokens = if (long) scheduling.longCompletionTokens else 0,
+            once = once
+        )
+        requests[request.id] = ModelRequest(request, host, runsMs)
+        apply(target, target.entry.submit(nowMs, request))
+        return request.id
+    }
+
+    fun resubmit(id: RequestId) {
+        val known = requests.getValue(id)
+        val host = hosts[known.host]
+        if (host.alive) apply(host, host.entry.submit(nowMs, known.request))
+    }
+
+    fun giveUp(id: RequestId) {
+        val known = requests.getValue(id)
+        val host = hosts[known.host]
+        if (!host.alive) return
+        val outputs = host.entry.giveUp(nowMs, id) ?: return
+        known.outcomes.add("given-up")
+        apply(host, outputs)
+    }
+
+    fun changeOwner(server: Int, host: Int) {
+        if (!hosts[host].alive) return
+        owners[server] = host
+        changeFleet()
+    }
+
+    fun setLeaving(server: Int, value: Boolean) {
+        if (value) leaving.add(server) else leaving.remove(server)
+        changeFleet()
+    }
+
+    /** Kills a host: its requests end as lost, its servers move, its engine calls break. */
+    fun kill(host: Int) {
+        val victim = hosts[host]
+        if (!victim.alive || hosts.count { it.alive } == 1) return
+        victim.alive = false
+        requests.values.filter { it.host == host && it.outcomes.isEmpty() }.forEach {
+            it.outcomes.add("host-died")
+            it.runningOn = null
+        }
+        val heir = hosts.indexOfFirst { it.alive }
+        owners.indices.filter { owners[it] == host }.forEach { owners[it] = heir }
+        changeFleet()
+        hosts.filter { it.alive }.forEach { apply(it, it.owner.hostGone(nowMs, victim.ref)) }
+    }
+
+    /** Starts a new incarnation of a dead host. */
+    fun restart(host: Int) {
+        if (hosts[host].alive) return
+        hosts[host] = Host(host, hosts[host].ref.incarnation.value + 1)
+        changeFleet()
+    }
+
+    fun run(durationMs: Long) {
+        val endMs = nowMs + durationMs
+        while (nowMs < endMs) step()
+    }
+
+    fun running(): List<ModelRequest> = requests.values.filter { it.runningOn != null }
+
+    private fun step() {
+        nowMs += STEP_MS
+        val due = packets.filter { it.dueMs <= nowMs }.shuffled(random)
+        packets.removeAll(due.toSet())
+        due.forEach { deliver(it) }
+        requests.values.filter {
+            it.runningOn != null || it.cancelAtMs != null
+        }.forEach { work(it) }
+        if (nowMs % EntryScheduler.TICK_MS == 0L) hosts.filter { it.alive }.forEach { tick(it) }
+    }
+
+    private fun tick(host: Host) {
+        apply(host, host.owner.tick(nowMs))
+        apply(host, host.entry.tick(nowMs))
+    }
+
+    private fun deliver(packet: Packet) {
+        val host = hosts.firstOrNull { it.ref.host == packet.to && it.alive } ?: return
+        apply(host, host.entry.receive(nowMs, packet.from, packet.message))
+        apply(host, host.owner.receive(nowMs, packet.from, packet.message))
+    }
+
+    private fun work(known: ModelRequest) {
+        val host = hosts[known.host]
+        val cancelAtMs = known.cancelAtMs
+        if (cancelAtMs != null && nowMs >= cancelAtMs) return end(host, known, "preempted")
+        val suspendAtMs = known.suspendAtMs
+        if (suspendAtMs != null && nowMs >= suspendAtMs) {
+            known.suspendAtMs = null
+            known.runningOn = null
+            return apply(host, host.entry.suspended(nowMs, known.request.id))
+        }
+        if (known.runningOn == null) return
+        known.leftMs -= STEP_MS
+        if (known.leftMs <= 0) end(host, known, "done")
+    }
+
+    private fun end(host: Host, known: ModelRequest, outcome: String) {
+        known.runningOn = null
+        known.cancelAtMs = null
+        known.suspendAtMs = null
+        known.outcomes.add(outcome)
+        apply(host, host.entry.finished(nowMs, known.request.id, FinishReport(null, null)))
+    }
+
+    private fun apply(host: Host, outputs: List<Any>) {
+        outputs.forEach { output ->
+            when (output) {
+                is EntryOutput -> applyEntry(host, output)
+                is OwnerOutput -> send(host, output.to, output.message)
+            }
+        }
+    }
+
+    private fun applyEntry(host: Host, output: EntryOutput) {
+        when (output) {
+            is EntryOutput.Send -> send(host, output.to, output.message)
+            is EntryOutput.Dispatch -> dispatched(output)
+            is EntryOutput.Reject -> rejected(output)
+            is EntryOutput.Preempt -> preempted(output)
+            is EntryOutput.Resume -> {
+                requests.getValue(output.requestId).runningOn = fleet().servers[output.server]
+            }
+        }
+    }
+
+    private fun dispatched(output: EntryOutput.Dispatch) {
+        val known = requests.getValue(output.requestId)
+        known.dispatches++
+        if (known.outcomes.isNotEmpty()) faults.add("dispatch of an ended ${known.request.id}")
+        known.runningOn = fleet().servers[output.server]
+    }
+
+    private fun rejected(output: EntryOutput.Reject) {
+        val known = requests.getValue(output.requestId)
+        known.outcomes.add(output.failure.code.wireName)
+        if (known.dispatches > 0) faults.add("reject after dispatch of ${known.request.id}")
+        if (output.failure.code !in SHED_CODES) return
+        val lower = running().filter {
+            known.request.tier.isAbove(it.request.tier) && it.runningOn?.leaving == false
+        }
+        if (lower.isNotEmpty()) {
+            faults.add("${known.request.id} shed while ${lower.first().request.id} runs")
+        }
+    }
+
+    private fun preempted(output: EntryOutput.Preempt) {
+        val known = requests.getValue(output.requestId)
+        known.preemptions++
+        if (output.suspend) {
+            known.suspendAtMs = nowMs + settings.cancelMs
+        } else {
+            known.cancelAtMs = nowMs + settings.cancelMs
+        }
+    }
+
+    private fun send(from: Host, to: HostId, message: SlotMessage) {
+        val copies = if (faulty && chance(settings.doublePercent)) 2 else 1
+        repeat(copies) {
+            if (faulty && chance(settings.dropPercent)) return@repeat
+            val delayMs = if (to == from.ref.host) 0 else 1 + random.nextInt(settings.maxDelayMs)
+            packets.add(Packet(from.ref, to, message, nowMs + delayMs))
+        }
+    }
+
+    private fun chance(percent: Int): Boolean = random.nextInt(PERCENT) < percent
+
+    private fun changeFleet() {
+        val fleet = fleet()
+        hosts.filter { it.alive }.forEach {
+            apply(it, it.owner.updateFleet(nowMs, fleet))
+            apply(it, it.entry.updateFleet(nowMs, fleet))
+        }
+    }
+
+    private fun fleet(): Fleet {
+        val servers = owners.indices.map { index ->
+            FleetServer(
+                id = BackendServerId("s$index"),
+                pool = settings.pool.name,
+                domain = FailureDomain("d${index % DOMAINS}"),
+                generation = Generation("g"),
+                owner = hosts[owners[index]].ref.host,
+                slots = settings.slots,
+                canSuspend = settings.canSuspend,
+                leaving = index in leaving
+            )
+        }
+        return Fleet(
+            servers.associateBy {
+                it.id
+            },
+            mapOf(settings.pool.name to settings.pool),
+            TIERS
+        )
+    }
+
+    private inner class Host(index: Int, incarnation: Long = 1) {
+        val ref = HostRef(HostId("h$index"), Incarnation(incarnation))
+        val entry = DefaultEntryScheduler(ref, FailureDomain("d${index % DOMAINS}"), scheduling)
+        val owner = DefaultOwnerScheduler(ref, scheduling)
+        var alive = true
+    }
+
+    private class Packet(
+        val from: HostRef,
+        val to: HostId,
+        val message: SlotMessage,
+        val dueMs: Long
+    )
+
+    companion object {
+        const val STEP_MS = 5L
+        const val DOMAINS = 3
+        private const val PERCENT = 100
+        val TIERS = (0..2).map { Tier(TierName("t$it"), TierRank(it), 0.99) }
+        val SHED_CODES = setOf(
+            ResultCode.QUEUE_FULL,
+            ResultCode.DEADLINE_UNREACHABLE,
+            ResultCode.DEADLINE_PASSED_WAITING
+        )
+    }
+}
--- /dev/null
+++ b/core/scheduling/src/test/kotlin/org/hyssoprack/scheduling/ModelSettings.kt
@@ -0,0 +1,16 @@
+package org.hyssoprack.scheduling
+
+import org.hyssoprack.policy.Pool
+
+/** Size and faults of a [Model]; probabilities are per message, in percent. */
+data class ModelSettings(
+    val hosts: Int = 3,
+    val servers: Int = 3,
+    val slots: Int = 2,
+    val pool: Pool,
+    val dropPercent: Int = 0,
+    val doublePercent: Int = 0,
+    val maxDelayMs: Int = 2,
+    val cancelMs: Long = 20,
+    val canSuspend: Boolean = true
+)
