Add clients of the platform and stand-ins for it

Cause: the daemon needs the table service, object store, host list and weight store, and tests need processes in their place that fail on demand. The clients call a write refused only if no connection came up or the service said so; all else without a whole answer is undecided.

Conclusion: each fault of the table service leads to the write result that tells the truth.

--- /dev/null
+++ b/testing/standins/src/main/kotlin/org/hyssoprack/standins/table/TableRoutes.kt
@@ -0,0 +1,93 @@
+package org.hyssoprack.standins.table
+
+import io.ktor.http.HttpStatusCode
+import io.ktor.server.application.ApplicationCall
+import io.ktor.server.response.respondText
+import io.ktor.server.routing.Routing
+import io.ktor.server.routing.get
+import io.ktor.server.routing.post
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
+import kotlinx.serialization.builtins.ListSerializer
+import org.hyssoprack.platform.http.PlatformPath
+import org.hyssoprack.platform.http.RowReply
+import org.hyssoprack.platform.http.RowsReply
+import org.hyssoprack.platform.http.ScanRequest
+import org.hyssoprack.platform.http.TableWrite
+import org.hyssoprack.standins.platform.Outage
+import org.hyssoprack.standins.platform.RateLimit
+import org.hyssoprack.standins.platform.hang
+import org.hyssoprack.standins.platform.receiveJson
+import org.hyssoprack.standins.platform.respondJson
+import org.hyssoprack.standins.platform.respondLimited
+import org.hyssoprack.standins.platform.respondUnavailable
+
+/** HTTP routes of the table service; [scope] carries writes that take effect late. */
+internal class TableRoutes(private val scope: CoroutineScope) {
+    private val store = TableStore()
+    val switch = FaultSwitch()
+
+    fun install(routing: Routing) = with(routing) {
+        post(PlatformPath.TABLE_READ) { admitted(call, switch.reads) { read(call) } }
+        post(PlatformPath.TABLE_SCAN) { admitted(call, switch.reads) { scan(call) } }
+        post(PlatformPath.TABLE_WRITE) { admitted(call, switch.writes) { write(call) } }
+        post("/faults") {
+            switch.set(call.receiveJson())
+            call.respondText("set")
+        }
+        get("/faults") { call.respondJson(TableFaults.serializer(), switch.faults) }
+        get("/log") {
+            val after = call.request.queryParameters["after"]?.toLongOrNull() ?: 0
+            call.respondJson(ListSerializer(WriteRecord.serializer()), store.logAfter(after))
+        }
+    }
+
+    private suspend fun admitted(
+        call: ApplicationCall,
+        limit: RateLimit,
+        work: suspend () -> Unit
+    ) {
+        if (switch.faults.outage == Outage.HANG) return call.hang()
+        if (switch.faults.outage == Outage.UNAVAILABLE) return call.respondUnavailable()
+        if (!limit.tryTake()) return call.respondLimited()
+        delay(switch.faults.delayMs)
+        work()
+    }
+
+    private suspend fun read(call: ApplicationCall) =
+        call.respondJson(RowReply.serializer(), RowReply(store.read(call.receiveJson())))
+
+    private suspend fun scan(call: ApplicationCall) {
+        val request = call.receiveJson<ScanRequest>()
+        val rows = store.scan(table = request.table, prefix = request.prefix)
+        call.respondJson(RowsReply.serializer(), RowsReply(rows))
+    }
+
+    private suspend fun write(call: ApplicationCall) {
+        val write = call.receiveJson<TableWrite>()
+        when (switch.fate(write.key.table)) {
+            WriteFate.NORMAL -> answer(call, write)
+            WriteFate.REPLY_LOST -> {
+                store.write(write, replyLost = true)
+                call.hang()
+            }
+            WriteFate.LATE -> {
+                applyLate(write, lateMs = switch.faults.lateMs)
+                call.hang()
+            }
+        }
+    }
+
+    private suspend fun answer(call: ApplicationCall, write: TableWrite) {
+        val row = store.write(write, replyLost = false)
+        if (row != null) return call.respondJson(RowReply.serializer(), RowReply(row))
+        val current = RowReply(store.read(write.key))
+        call.respondJson(RowReply.serializer(), current, HttpStatusCode.Conflict)
+    }
+
+    private fun applyLate(write: TableWrite, lateMs: Long) = scope.launch {
+        delay(lateMs)
+        store.write(write, replyLost = true)
+    }
+}
--- /dev/null
+++ b/testing/standins/src/test/kotlin/org/hyssoprack/standins/platform/FreePort.kt
@@ -0,0 +1,12 @@
+package org.hyssoprack.standins.platform
+
+import java.net.InetAddress
+import java.net.ServerSocket
+import org.hyssoprack.common.NetworkAddress
+
+/** A loopback address that nothing listens on. */
+internal fun freeAddress(): NetworkAddress {
+    val loopback = InetAddress.getLoopbackAddress()
+    val port = ServerSocket(0, 1, loopback).use { it.localPort }
+    return NetworkAddress(ip = "127.0.0.1", port = port)
+}
