Add a TCP link between hosts

Hosts need a transport before the daemon can be wired. Frames are a length, a kind byte and a CBOR body; hellos name the host incarnation; one task owns each socket.

--- /dev/null
+++ b/link/tcp/src/main/kotlin/org/hyssoprack/link/tcp/Connection.kt
@@ -0,0 +1,174 @@
+package org.hyssoprack.link.tcp
+
+import kotlinx.coroutines.CancellationException
+import kotlinx.coroutines.CompletableDeferred
+import kotlinx.coroutines.ExperimentalCoroutinesApi
+import kotlinx.coroutines.cancelChildren
+import kotlinx.coroutines.channels.BufferOverflow
+import kotlinx.coroutines.channels.Channel
+import kotlinx.coroutines.coroutineScope
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.selects.onTimeout
+import kotlinx.coroutines.selects.select
+import org.hyssoprack.common.Clock
+import org.hyssoprack.common.EventLog
+import org.hyssoprack.common.HostId
+import org.hyssoprack.common.HostMessage
+import org.hyssoprack.common.HostRef
+import org.hyssoprack.common.NetworkAddress
+import org.hyssoprack.common.eq
+import org.hyssoprack.link.ReceivedMessage
+
+/**
+ * One connection with a peer after the hellos. [run] owns the socket.
+ *
+ * @property peer host incarnation on the other side.
+ * @property address where the peer accepts connections.
+ * @property dialer host that opened the connection.
+ */
+internal class Connection(
+    val peer: HostRef,
+    val address: NetworkAddress,
+    val dialer: HostId,
+    private val socket: FrameSocket,
+    private val settings: LinkSettings,
+    private val clock: Clock,
+    private val log: EventLog,
+    private val counters: LinkCounters,
+    private val deliver: (ReceivedMessage) -> Unit
+) {
+    private val outgoing = Channel<HostMessage>(
+        capacity = settings.queueLength,
+        onBufferOverflow = BufferOverflow.DROP_OLDEST,
+        onUndeliveredElement = { counters.drops.increment() }
+    )
+    private val ended = CompletableDeferred<CloseReason>()
+
+    @Volatile
+    private var heardMs = clock.nowMs()
+
+    @Volatile
+    private var usedMs = clock.nowMs()
+
+    /** True until the connection has ended. */
+    val isOpen: Boolean get() = !ended.isCompleted
+
+    /** Queues [message]; the oldest one is dropped if too many wait. */
+    fun send(message: HostMessage) {
+        val sent = outgoing.trySend(message)
+        if (sent.isFailure) counters.drops.increment()
+    }
+
+    /** Ends the connection. */
+    fun close(reason: CloseReason) {
+        ended.complete(reason)
+    }
+
+    /** Serves the connection until it ends. */
+    suspend fun run(): CloseReason {
+        counters.connections.incrementAndGet()
+        try {
+            return serve()
+        } finally {
+            ended.complete(CloseReason.STOPPED)
+            counters.connections.decrementAndGet()
+            socket.close()
+            outgoing.cancel()
+        }
+    }
+
+    private suspend fun serve(): CloseReason = coroutineScope {
+        launch { guarded { readFrames() } }
+        launch { guarded { writeFrames() } }
+        launch { watch() }
+        val reason = ended.await()
+        socket.close()
+        coroutineContext.cancelChildren()
+        reason
+    }
+
+    private suspend fun guarded(work: suspend () -> Unit) {
+        try {
+            work()
+        } catch (e: CancellationException) {
+            throw e
+        } catch (e: Exception) {
+            log.event("link-broken", "peer" eq peer, "error" eq e.message)
+        } finally {
+            ended.complete(CloseReason.BROKEN)
+        }
+    }
+
+    private suspend fun readFrames() {
+        while (isOpen) {
+            val frame = socket.read { heardMs = clock.nowMs() }
+            frame.fold({ return refuse(it) }, { accept(it) })
+        }
+    }
+
+    private fun accept(frame: Frame) {
+        if (frame !is Frame.Payload) return
+        usedMs = clock.nowMs()
+        deliver(ReceivedMessage(from = peer, message = frame.message))
+    }
+
+    private fun refuse(fault: FrameFault) {
+        counters.refusals.increment()
+        log.event("link-frame-refused", "peer" eq peer, "fault" eq fault.wireName)
+        close(CloseReason.BAD_FRAME)
+    }
+
+    private suspend fun writeFrames() {
+        while (isOpen) {
+            val first = nextMessage()
+            if (first == null) socket.write(Frame.Heartbeat) else writeBatch(first)
+            socket.flush()
+        }
+    }
+
+    @OptIn(ExperimentalCoroutinesApi::class)
+    private suspend fun nextMessage(): HostMessage? = select {
+        outgoing.onReceive { it }
+        onTimeout(settings.heartbeatMs) { null }
+    }
+
+    private suspend fun writeBatch(first: HostMessage) {
+        usedMs = clock.nowMs()
+        var message: HostMessage? = first
+        var size = 0
+        while (message != null) {
+            size += write(message)
+            message = if (size < BATCH_BYTES) outgoing.tryReceive().getOrNull() else null
+        }
+    }
+
+    private suspend fun write(message: HostMessage): Int =
+        socket.write(Frame.Payload(message)).fold({ unsendable(message, it) }, { it })
+
+    private fun unsendable(message: HostMessage, fault: FrameFault): Int {
+        counters.drops.increment()
+        val type = message::class.simpleName
+        log.event("link-message-unsendable", "type" eq type, "fault" eq fault.wireName)
+        return 0
+    }
+
+    private suspend fun watch() {
+        while (isOpen) {
+            delay(settings.heartbeatMs / WATCHES_PER_HEARTBEAT)
+            val nowMs = clock.nowMs()
+            if (nowMs - heardMs > settings.silentMs) return closeSilent()
+            if (nowMs - usedMs > settings.idleMs) return close(CloseReason.IDLE)
+        }
+    }
+
+    private fun closeSilent() {
+        counters.silences.increment()
+        close(CloseReason.SILENT)
+    }
+
+    private companion object {
+        const val BATCH_BYTES = 64 * 1_024
+        const val WATCHES_PER_HEARTBEAT = 2
+    }
+}
--- /dev/null
+++ b/link/tcp/src/main/kotlin/org/hyssoprack/link/tcp/FrameCodec.kt
@@ -0,0 +1,61 @@
+package org.hyssoprack.link.tcp
+
+import arrow.core.Either
+import arrow.core.left
+import arrow.core.right
+import kotlinx.serialization.ExperimentalSerializationApi
+import kotlinx.serialization.PolymorphicSerializer
+import kotlinx.serialization.cbor.Cbor
+import kotlinx.serialization.modules.SerializersModule
+import org.hyssoprack.common.HostMessage
+
+/**
+ * Writes frames as one byte for the kind and a CBOR body, and reads them.
+ *
+ * @param messages registers all subclasses of [HostMessage].
+ */
+@OptIn(ExperimentalSerializationApi::class)
+internal class FrameCodec(messages: SerializersModule, private val maxFrameBytes: Int) {
+    private val cbor = Cbor {
+        serializersModule = messages
+        encodeDefaults = false
+        ignoreUnknownKeys = true
+        useDefiniteLengthEncoding = true
+    }
+    private val payloads = PolymorphicSerializer(HostMessage::class)
+
+    /** The frame's bytes, without their length. */
+    fun encode(frame: Frame): Either<FrameFault, ByteArray> {
+        val bytes = Either.catch { bytesOf(frame) }
+            .fold({ return FrameFault.NOT_ENCODABLE.left() }, { it })
+        return if (bytes.size > maxFrameBytes) FrameFault.TOO_LARGE.left() else bytes.right()
+    }
+
+    /** Reads what [encode] wrote. */
+    fun decode(bytes: ByteArray): Either<FrameFault, Frame> {
+        if (bytes.isEmpty()) return FrameFault.EMPTY.left()
+        val body = bytes.copyOfRange(1, bytes.size)
+        return when (bytes[0]) {
+            HEARTBEAT -> Frame.Heartbeat.right()
+            HELLO -> read { Frame.Greeting(cbor.decodeFromByteArray(Hello.serializer(), body)) }
+            PAYLOAD -> read { Frame.Payload(cbor.decodeFromByteArray(payloads, body)) }
+            else -> FrameFault.UNKNOWN_KIND.left()
+        }
+    }
+
+    private fun bytesOf(frame: Frame): ByteArray = when (frame) {
+        Frame.Heartbeat -> byteArrayOf(HEARTBEAT)
+        is Frame.Greeting ->
+            byteArrayOf(HELLO) + cbor.encodeToByteArray(Hello.serializer(), frame.hello)
+        is Frame.Payload -> byteArrayOf(PAYLOAD) + cbor.encodeToByteArray(payloads, frame.message)
+    }
+
+    private fun read(decode: () -> Frame): Either<FrameFault, Frame> =
+        Either.catch { decode() }.mapLeft { FrameFault.NOT_DECODABLE }
+
+    private companion object {
+        const val HEARTBEAT: Byte = 0
+        const val HELLO: Byte = 1
+        const val PAYLOAD: Byte = 2
+    }
+}
--- /dev/null
+++ b/link/tcp/src/main/kotlin/org/hyssoprack/link/tcp/FrameSocket.kt
@@ -0,0 +1,60 @@
+package org.hyssoprack.link.tcp
+
+import arrow.core.Either
+import arrow.core.left
+import io.ktor.network.sockets.Socket
+import io.ktor.network.sockets.openReadChannel
+import io.ktor.network.sockets.openWriteChannel
+import io.ktor.utils.io.readFully
+import io.ktor.utils.io.readInt
+import io.ktor.utils.io.writeFully
+import io.ktor.utils.io.writeInt
+
+/** Reads and writes length-prefixed frames on one socket. Fails as the socket does. */
+internal class FrameSocket(
+    private val socket: Socket,
+    private val codec: FrameCodec,
+    private val counters: LinkCounters,
+    private val maxFrameBytes: Int
+) {
+    private val input = socket.openReadChannel()
+    private val output = socket.openWriteChannel(autoFlush = false)
+
+    /** Reads one frame; [onBytes] is called as its parts arrive. */
+    suspend fun read(onBytes: () -> Unit = {}): Either<FrameFault, Frame> {
+        val length = input.readInt()
+        onBytes()
+        if (length > maxFrameBytes || length < 0) return FrameFault.TOO_LARGE.left()
+        val bytes = ByteArray(length)
+        var offset = 0
+        while (offset < length) {
+            val end = minOf(offset + CHUNK_BYTES, length)
+            input.readFully(bytes, offset, end)
+            offset = end
+            onBytes()
+        }
+        counters.bytesIn.add(LENGTH_BYTES + length.toLong())
+        counters.framesIn.increment()
+        return codec.decode(bytes)
+    }
+
+    /** Appends a frame to what [flush] sends; a frame that cannot be encoded is left out. */
+    suspend fun write(frame: Frame): Either<FrameFault, Int> = codec.encode(frame).map { bytes ->
+        output.writeInt(bytes.size)
+        output.writeFully(bytes)
+        counters.bytesOut.add(LENGTH_BYTES + bytes.size.toLong())
+        counters.framesOut.increment()
+        LENGTH_BYTES + bytes.size
+    }
+
+    /** Sends all that was written. */
+    suspend fun flush() = output.flush()
+
+    /** Closes the socket both ways. */
+    fun close() = socket.close()
+
+    private companion object {
+        const val LENGTH_BYTES = 4
+        const val CHUNK_BYTES = 64 * 1_024
+    }
+}
--- /dev/null
+++ b/link/tcp/src/main/kotlin/org/hyssoprack/link/tcp/Hello.kt
@@ -0,0 +1,18 @@
+package org.hyssoprack.link.tcp
+
+import kotlinx.serialization.Serializable
+import org.hyssoprack.common.HostRef
+import org.hyssoprack.common.NetworkAddress
+
+/**
+ * Introduces the sender of a connection.
+ *
+ * @property version version of the wire format.
+ * @property address where the sender accepts connections.
+ */
+@Serializable
+internal data class Hello(val version: Int, val ref: HostRef, val address: NetworkAddress) {
+    companion object {
+        const val WIRE_VERSION = 1
+    }
+}
