--- /dev/null
+++ b/daemon/src/main/kotlin/org/hyssoprack/daemon/CallerHeaders.kt
@@ -0,0 +1,13 @@
+package org.hyssoprack.daemon
+
+/** Names of the HTTP headers of the callers' API. */
+internal object CallerHeaders {
+    const val REQUEST_ID = "X-Request-Id"
+    const val ATTEMPT = "X-Attempt"
+    const val DEADLINE = "X-Deadline-Ms"
+    const val LANE = "X-Lane"
+    const val IDEMPOTENCY_KEY = "Idempotency-Key"
+    const val BUNDLE = "X-Bundle-Version"
+    const val HOST = "X-Host"
+    const val RESULT = "X-Result-Code"
+}
--- /dev/null
+++ b/daemon/src/main/kotlin/org/hyssoprack/daemon/OperatorServer.kt
@@ -0,0 +1,158 @@
+package org.hyssoprack.daemon
+
+import arrow.core.Either
+import arrow.core.left
+import arrow.core.raise.Raise
+import arrow.core.raise.either
+import arrow.core.right
+import io.ktor.http.HttpMethod
+import io.ktor.http.HttpStatusCode
+import io.ktor.server.application.ApplicationCall
+import io.ktor.server.cio.CIO
+import io.ktor.server.cio.CIOApplicationEngine
+import io.ktor.server.engine.EmbeddedServer
+import io.ktor.server.engine.connector
+import io.ktor.server.engine.embeddedServer
+import io.ktor.server.response.respondText
+import io.ktor.server.routing.Routing
+import io.ktor.server.routing.get
+import io.ktor.server.routing.post
+import io.ktor.server.routing.route
+import io.ktor.server.routing.routing
+import org.hyssoprack.common.BundleVersion
+import org.hyssoprack.common.ContentHash
+import org.hyssoprack.common.EventLog
+import org.hyssoprack.common.Failure
+import org.hyssoprack.common.NetworkAddress
+import org.hyssoprack.common.OperatorName
+import org.hyssoprack.common.ResultCode
+import org.hyssoprack.common.eq
+import org.hyssoprack.settings.BundleHolder
+import org.hyssoprack.settings.BundleService
+
+/** HTTP server for operators and for scraping metrics. */
+internal class OperatorServer(
+    private val address: NetworkAddress,
+    private val operatorKeys: Map<ContentHash, OperatorName>,
+    private val bundles: BundleService,
+    private val holder: BundleHolder,
+    private val state: HostReport,
+    private val orders: OrderEndpoint,
+    private val bodies: BodyReader,
+    private val drain: () -> Unit,
+    private val metrics: () -> String,
+    private val log: EventLog,
+) {
+    /** Starts listening. */
+    fun start(): EmbeddedServer<CIOApplicationEngine, CIOApplicationEngine.Configuration> =
+        embeddedServer(
+            factory = CIO,
+            configure = {
+                connector {
+                    host = address.ip
+                    port = address.port
+                }
+            },
+        ) {
+            routing {
+                get("/metrics") { call.respondText(metrics()) }
+                bundleRoutes()
+                stateRoutes()
+                route("{...}") {
+                    handle {
+                        call.respondFailure(Failure(ResultCode.PATH_UNKNOWN, "No such path."))
+                    }
+                }
+            }
+        }.start(wait = false)
+
+    private fun Routing.bundleRoutes() {
+        post("/v1/bundles") {
+            asOperator(call) { operator ->
+                val json = bodies.read(call).bind().decodeToString()
+                call.respondJson(ProposedBody(bundles.propose(operator, json).bind()))
+            }
+        }
+        get("/v1/bundles") { asOperator(call) { call.respondJson(bundles.history().bind()) } }
+        get("/v1/bundles/active") { asOperator(call) { call.respondJson(active().bind()) } }
+        get("/v1/bundles/{hash}") {
+            asOperator(call) { call.respondText(bundles.show(hash(call).bind()).bind()) }
+        }
+        post("/v1/bundles/{hash}/sign-off") {
+            asOperator(call) { operator ->
+                bundles.signOff(operator, hash(call).bind()).bind()
+                call.respond204()
+            }
+        }
+        post("/v1/bundles/{hash}/accept") {
+            asOperator(call) { operator ->
+                val hash = hash(call).bind()
+                val version = bundles.accept(operator, hash, base(call).bind()).bind()
+                call.respondJson(ActiveBody(version = version, hash = hash))
+            }
+        }
+    }
+
+    private fun Routing.stateRoutes() {
+        get("/v1/hosts") { asOperator(call) { call.respondJson(state.hosts()) } }
+        get("/v1/backend-servers") { asOperator(call) { call.respondJson(state.backendServers()) } }
+        get("/v1/burn") { asOperator(call) { call.respondJson(state.burn()) } }
+        post("/v1/orders") {
+            asOperator(call) { operator ->
+                val body = bodies.read(call).bind().decodeToString()
+                call.respondJson(orders.give(operator, body).bind())
+            }
+        }
+        post("/v1/drain") {
+            asOperator(call) {
+                drain()
+                call.respond204()
+            }
+        }
+    }
+
+    private suspend fun asOperator(
+        call: ApplicationCall,
+        block: suspend Raise<Failure>.(OperatorName) -> Unit,
+    ) {
+        val operator = operator(call).fold({ return call.respondFailure(it) }, { it })
+        val result = either { block(operator) }
+        result.onLeft { call.respondFailure(it) }
+        if (call.request.local.method == HttpMethod.Get) return
+        log.event(
+            "operator-call",
+            "operator" eq operator,
+            "path" eq call.request.local.uri,
+            "code" eq (result.leftOrNull()?.code ?: ResultCode.OK).number,
+        )
+    }
+
+    private fun operator(call: ApplicationCall): Either<Failure, OperatorName> {
+        val key = call.bearerKey()
+            ?: return Failure(ResultCode.KEY_MISSING, "Send 'Authorization: Bearer <key>'.").left()
+        return operatorKeys[ContentHash.of(key)]?.right()
+            ?: Failure(ResultCode.KEY_UNKNOWN, "The key belongs to no operator.").left()
+    }
+
+    private fun active(): Either<Failure, ActiveBody> {
+        val bundle = holder.active.value
+            ?: return Failure(ResultCode.NO_SETTINGS, "No bundle is in force here.").left()
+        return ActiveBody(version = bundle.version, hash = bundle.hash).right()
+    }
+
+    private fun hash(call: ApplicationCall): Either<Failure, ContentHash> {
+        val text = call.parameters["hash"].orEmpty()
+        return ContentHash.parse(text)?.right()
+            ?: Failure(ResultCode.BUNDLE_UNKNOWN, "'$text' is not a bundle's hash.").left()
+    }
+
+    private fun base(call: ApplicationCall): Either<Failure, BundleVersion> {
+        val base = call.request.queryParameters["base"]?.toLongOrNull()
+        if (base != null && base >= 0) return BundleVersion(base).right()
+        val detail = "Add '?base=N' with the version that you saw last."
+        return Failure(ResultCode.HEADER_MISSING, detail).left()
+    }
+
+    private suspend fun ApplicationCall.respond204() =
+        respondText(text = "", status = HttpStatusCode.NoContent)
+}
--- /dev/null
+++ b/daemon/src/main/kotlin/org/hyssoprack/daemon/PeerRelay.kt
@@ -0,0 +1,97 @@
+package org.hyssoprack.daemon
+
+import io.ktor.client.HttpClient
+import io.ktor.client.engine.cio.CIO
+import io.ktor.client.plugins.timeout
+import io.ktor.client.plugins.HttpTimeout
+import io.ktor.client.request.header
+import io.ktor.client.request.prepareRequest
+import io.ktor.client.request.setBody
+import io.ktor.client.statement.HttpResponse
+import io.ktor.client.statement.bodyAsChannel
+import io.ktor.http.HttpHeaders
+import io.ktor.http.HttpMethod
+import io.ktor.http.contentType
+import io.ktor.server.application.ApplicationCall
+import io.ktor.server.response.header
+import io.ktor.server.response.respondBytesWriter
+import io.ktor.utils.io.copyTo
+import java.io.IOException
+import org.hyssoprack.common.EventLog
+import org.hyssoprack.common.Failure
+import org.hyssoprack.common.ResultCode
+import org.hyssoprack.common.eq
+import org.hyssoprack.host.AdmittedRequest
+import org.hyssoprack.host.RequestService
+import org.hyssoprack.membership.Member
+
+/**
+ * Passes calls that reach a stopping host on to peers. A call that may have reached a peer is never
+ * passed on again.
+ */
+internal class PeerRelay(
+    private val service: RequestService,
+    private val peers: () -> List<Member>,
+    private val log: EventLog,
+) {
+    private val client = HttpClient(CIO) {
+        expectSuccess = false
+        install(HttpTimeout)
+    }
+
+    /** Passes [request] on to a peer, or tells the caller that it did not run. */
+    suspend fun passOn(call: ApplicationCall, request: AdmittedRequest) {
+        val peer = peers().firstOrNull()
+        if (peer == null) {
+            val failure = Failure(ResultCode.HOST_STOPPING, "No other host is known.")
+            return call.respondFailure(failure)
+        }
+        service.passedOn(request.id, peer.ref)
+        log.event("passed-on", "request" eq request.id, "to" eq peer.ref)
+        try {
+            relay(call, request, peer)
+        } catch (e: IOException) {
+            answerBroken(call, peer)
+        }
+    }
+
+    private suspend fun relay(call: ApplicationCall, request: AdmittedRequest, peer: Member) {
+        val source = request.call
+        client.prepareRequest("http://${peer.callerAddress}${source.path}") {
+            method = HttpMethod.parse(source.method)
+            timeout {
+                connectTimeoutMillis = CONNECT_TIMEOUT_MS
+                requestTimeoutMillis = request.route.deadlineMs * 2
+            }
+            header(HttpHeaders.Authorization, "Bearer ${source.bearerKey}")
+            header(CallerHeaders.REQUEST_ID, request.id.value)
+            if (request.firstAttempt) header(CallerHeaders.ATTEMPT, "1")
+            source.contentType?.let { header(HttpHeaders.ContentType, it) }
+            source.idempotencyKey?.let { header(CallerHeaders.IDEMPOTENCY_KEY, it) }
+            source.deadline?.let { header(CallerHeaders.DEADLINE, it) }
+            source.lane?.let { header(CallerHeaders.LANE, it) }
+            if (method != HttpMethod.Get) setBody(source.body)
+        }.execute { answer -> copy(call, answer) }
+    }
+
+    private suspend fun copy(call: ApplicationCall, answer: HttpResponse) {
+        COPIED_HEADERS.forEach { name ->
+            answer.headers[name]?.let { call.response.header(name, it) }
+        }
+        call.respondBytesWriter(contentType = answer.contentType(), status = answer.status) {
+            answer.bodyAsChannel().copyTo(this)
+        }
+    }
+
+    private suspend fun answerBroken(call: ApplicationCall, peer: Member) {
+        if (call.response.isCommitted) return
+        val detail = "The host ${peer.ref} took the request over and broke off."
+        call.respondFailure(Failure(ResultCode.FIRST_ATTEMPT_UNKNOWN, detail))
+    }
+
+    private companion object {
+        const val CONNECT_TIMEOUT_MS = 1_000L
+        val COPIED_HEADERS =
+            listOf(CallerHeaders.BUNDLE, CallerHeaders.RESULT, HttpHeaders.RetryAfter)
+    }
+}
--- a/host/src/main/kotlin/org/hyssoprack/host/Admission.kt
+++ b/host/src/main/kotlin/org/hyssoprack/host/Admission.kt
@@ -10,6 +10,7 @@
 import org.hyssoprack.backend.PrefixHash
 import org.hyssoprack.common.ClientAccount
 import org.hyssoprack.common.Clock
+import org.hyssoprack.common.ContentHash
 import org.hyssoprack.common.Failure
 import org.hyssoprack.common.HostRef
 import org.hyssoprack.common.IdempotencyKey
@@ -94,7 +95,7 @@
         val key = ensureNotNull(call.bearerKey) {
             Failure(ResultCode.KEY_MISSING, "Send 'Authorization: Bearer <key>'.")
         }
-        return ensureNotNull(bundle.accountByKeyHash[KeyHash.of(key)]) {
+        return ensureNotNull(bundle.accountByKeyHash[ContentHash.of(key)]) {
             Failure(ResultCode.KEY_UNKNOWN, "The key belongs to no client account.")
         }
     }
--- a/host/src/main/kotlin/org/hyssoprack/host/MemberFollower.kt
+++ b/host/src/main/kotlin/org/hyssoprack/host/MemberFollower.kt
@@ -3,22 +3,18 @@
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Job
 import kotlinx.coroutines.launch
-import org.hyssoprack.common.EventLog
 import org.hyssoprack.common.HostId
 import org.hyssoprack.common.HostRef
-import org.hyssoprack.common.eq
-import org.hyssoprack.link.Link
 import org.hyssoprack.membership.Member
 import org.hyssoprack.membership.MemberState
 import org.hyssoprack.membership.MemberView
 import org.hyssoprack.membership.Membership
 import org.hyssoprack.settings.BundleHolder
 
-/** Passes changes of the members on to the link, the owner's scheduler and the bundle holder. */
+/** Passes changes of the members on to the owner's scheduler and the bundle holder. */
 class MemberFollower(
     private val self: HostRef,
     private val membership: Membership,
-    private val link: Link,
     private val owner: OwnerTask,
     private val bundles: BundleHolder,
     private val log: EventLog
@@ -40,11 +36,9 @@
     private fun followMember(member: Member) {
         val before = known.put(member.ref.host, member)
         if (member == before) return
-        if (member.state != MemberState.DEAD) link.setAddress(member.ref.host, member.linkAddress)
         if (before != null && before.ref != member.ref) owner.hostGone(before.ref)
         if (member.bundle != before?.bundle) bundles.peerHas(member.ref.host, member.bundle)
         if (member.state == before?.state && member.ref == before.ref) return
-        log.event("member", "host" eq member.ref, "state" eq member.state)
         if (member.state == MemberState.DEAD) owner.hostGone(member.ref)
     }
 }
--- a/host/src/main/kotlin/org/hyssoprack/host/ServiceRun.kt
+++ b/host/src/main/kotlin/org/hyssoprack/host/ServiceRun.kt
@@ -15,6 +15,7 @@
 import org.hyssoprack.claims.ClaimService
 import org.hyssoprack.claims.RecordedOutcome
 import org.hyssoprack.common.Clock
+import org.hyssoprack.common.ContentHash
 import org.hyssoprack.common.Failure
 import org.hyssoprack.common.HostRef
 import org.hyssoprack.common.IdempotencyKey
@@ -88,7 +89,7 @@
 
     private fun bodyHash(): String {
         val call = request.call
-        return KeyHash.of("${call.method} ${call.path}\n".toByteArray() + call.body).value
+        return ContentHash.of("${call.method} ${call.path}\n".toByteArray() + call.body).value
     }
 
     private fun outcome(answer: ServiceAnswer) = RecordedOutcome(
--- /dev/null
+++ b/host/src/test/kotlin/org/hyssoprack/host/RetryTaskTest.kt
@@ -0,0 +1,61 @@
+package org.hyssoprack.host
+
+import assertk.assertThat
+import assertk.assertions.isEqualTo
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.runBlocking
+import net.jqwik.api.Example
+import org.hyssoprack.common.HostId
+import org.hyssoprack.common.HostRef
+import org.hyssoprack.common.Incarnation
+import org.hyssoprack.common.ManualClock
+import org.hyssoprack.common.RequestId
+import org.hyssoprack.common.ResultCode
+
+class RetryTaskTest {
+    private val first = HostRef(HostId("h1"), Incarnation(10))
+    private val second = HostRef(HostId("h2"), Incarnation(20))
+
+    private class Case(
+        val name: String,
+        val origin: HostRef,
+        val dispatched: Boolean = false,
+        val lose: Int = 0,
+        val expected: ResultCode?,
+    )
+
+    private val cases = listOf(
+        Case("the first host never saw it", first, expected = null),
+        Case("the first host dispatched it", first, true, expected = UNKNOWN),
+        Case("two questions get lost", first, lose = 2, expected = null),
+        Case("every question gets lost", first, lose = 99, expected = UNKNOWN),
+        Case("the first host has restarted", HostRef(first.host, Incarnation(9)), expected = UNKNOWN),
+        Case("this host has restarted", HostRef(second.host, Incarnation(19)), expected = UNKNOWN),
+        Case("this host is the first", second, expected = null),
+    )
+
+    @Example
+    fun `a retry is taken over only if the first attempt cannot run`() = cases.forEach { case ->
+        runBlocking { assertThat(takeOver(case), case.name).isEqualTo(case.expected) }
+    }
+
+    private suspend fun CoroutineScope.takeOver(case: Case): ResultCode? {
+        val id = RequestId.of(case.origin, "1")
+        val registry = RequestRegistry(ManualClock(), giveUpWaiting = { false })
+        if (case.dispatched) registry.begin(id)
+        var lost = 0
+        lateinit var there: RetryTask
+        val here = RetryTask(second, registry = RequestRegistry(ManualClock()) { false }) { _, message ->
+            if (lost++ >= case.lose) launch { there.receive(second, message as RetryMessage) }
+        }
+        there = RetryTask(first, registry) { _, message ->
+            launch { here.receive(first, message as RetryMessage) }
+        }
+        return here.takeOver(id).leftOrNull()?.code
+    }
+
+    private companion object {
+        val UNKNOWN = ResultCode.FIRST_ATTEMPT_UNKNOWN
+    }
+}
