Emulate engines and plain services as small processes

Cause: nothing can be measured or broken on purpose without backend servers. Conclusion: an engine emulator with continuous batching, a prefix cache, late reports, suspend, resume, cancel, export and faults; a plain service that counts its runs.

--- /dev/null
+++ b/testing/standins/src/main/kotlin/org/hyssoprack/standins/engine/CompletionRoutes.kt
@@ -0,0 +1,126 @@
+package org.hyssoprack.standins.engine
+
+import io.ktor.http.ContentType
+import io.ktor.http.HttpStatusCode
+import io.ktor.server.application.ApplicationCall
+import io.ktor.server.request.header
+import io.ktor.server.request.path
+import io.ktor.server.request.receiveText
+import io.ktor.server.response.respondBytesWriter
+import io.ktor.server.response.respondText
+import io.ktor.server.routing.Route
+import io.ktor.server.routing.get
+import io.ktor.server.routing.post
+import java.util.UUID
+import kotlinx.coroutines.NonCancellable
+import kotlinx.coroutines.flow.first
+import kotlinx.coroutines.withContext
+import org.hyssoprack.backend.CompletionBody
+
+/** Endpoints of an emulated engine that run completions and stream their tokens. */
+internal class CompletionRoutes(private val core: EngineCore, private val faults: FaultSwitch) {
+    /** Adds the endpoints to [route]. */
+    fun install(route: Route) {
+        route.post(COMPLETIONS) { complete(call) }
+        route.post(CHAT_COMPLETIONS) { complete(call) }
+        route.get("/v1/requests/{id}/stream") { reattach(call) }
+    }
+
+    private suspend fun complete(call: ApplicationCall) {
+        val id = call.request.header(REQUEST_ID) ?: UUID.randomUUID().toString()
+        val body = CompletionBody.parse(call.receiveText())
+            ?: return call.error(id, HttpStatusCode.BadRequest, admitted = false)
+        if (faults.takeRefuse()) {
+            return call.error(id, HttpStatusCode.ServiceUnavailable, admitted = false)
+        }
+        val isKnownModel = body.model == null || body.model == core.status().model
+        if (!isKnownModel) return call.error(id, HttpStatusCode.NotFound, admitted = false)
+        if (faults.takeDoubleRun()) core.detach(core.submit(id, body))
+        val run = core.submit(id, body)
+        if (faults.takeFail()) {
+            core.detach(run)
+            return call.error(id, HttpStatusCode.InternalServerError, admitted = true)
+        }
+        val isChat = call.request.path() == CHAT_COMPLETIONS
+        if (body.stream) {
+            stream(call, run, offset = 0, tamper = faults.takeTamper(), isChat = isChat)
+        } else {
+            whole(call, run, isChat)
+        }
+    }
+
+    private suspend fun reattach(call: ApplicationCall) {
+        val id = call.parameters["id"].orEmpty()
+        val offset = call.request.queryParameters["offset"]?.toIntOrNull() ?: 0
+        val isChat = call.request.queryParameters["chat"] == "true"
+        val run = if (faults.faults.cutReattach) null else core.attach(id)
+        if (run == null) return call.error(id, HttpStatusCode.NotFound, admitted = false)
+        val tamper =
+            if (faults.faults.freezeReattach) StreamTamper.FREEZE else StreamTamper.NONE
+        stream(call, run, offset = offset, tamper = tamper, isChat = isChat)
+    }
+
+    private suspend fun stream(
+        call: ApplicationCall,
+        run: EngineRun,
+        offset: Int,
+        tamper: StreamTamper,
+        isChat: Boolean
+    ) {
+        val stream = TokenStream(
+            run = run,
+            chunks = chunks(run, run.id, run.marker, isChat),
+            otherChunks = chunks(run, "other-${run.id}", "other-${run.marker}", isChat),
+            offset = offset,
+            tamper = tamper,
+            faultAfterTokens = faults.faults.faultAfterTokens
+        )
+        val echoed = if (tamper == StreamTamper.SWAP_ID) "other-${run.id}" else run.id
+        call.response.headers.append(REQUEST_ID, echoed)
+        call.respondBytesWriter(contentType = ContentType.Text.EventStream) {
+            try {
+                stream.writeTo(this)
+            } finally {
+                withContext(NonCancellable) { core.detach(run) }
+            }
+        }
+    }
+
+    private suspend fun whole(call: ApplicationCall, run: EngineRun, isChat: Boolean) {
+        try {
+            val end = run.progress.first { it.endReason != null }
+            if (end.endReason != EndReason.DONE) {
+                return call.error(run.id, HttpStatusCode.InternalServerError, admitted = true)
+            }
+            val text = chunks(run, run.id, run.marker, isChat).whole(run)
+            call.response.headers.append(REQUEST_ID, run.id)
+            call.respondText(text = text, contentType = ContentType.Application.Json)
+        } finally {
+            withContext(NonCancellable) { core.detach(run) }
+        }
+    }
+
+    private suspend fun chunks(run: EngineRun, id: String, marker: String, isChat: Boolean) =
+        ChunkWriter(id = id, marker = marker, model = core.status().model.value, isChat = isChat)
+
+    private suspend fun ApplicationCall.error(
+        id: String,
+        status: HttpStatusCode,
+        admitted: Boolean
+    ) {
+        response.headers.append(REQUEST_ID, id)
+        response.headers.append(ADMITTED, admitted.toString())
+        respondText(
+            text = """{"error":{"type":"${status.description.lowercase()}"}}""",
+            contentType = ContentType.Application.Json,
+            status = status
+        )
+    }
+
+    private companion object {
+        const val COMPLETIONS = "/v1/completions"
+        const val CHAT_COMPLETIONS = "/v1/chat/completions"
+        const val REQUEST_ID = "X-Request-Id"
+        const val ADMITTED = "X-Admitted"
+    }
+}
--- /dev/null
+++ b/testing/standins/src/main/kotlin/org/hyssoprack/standins/engine/EngineServer.kt
@@ -0,0 +1,44 @@
+package org.hyssoprack.standins.engine
+
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.SupervisorJob
+import kotlinx.coroutines.cancel
+import kotlinx.coroutines.runBlocking
+import org.hyssoprack.common.EventLog
+import org.hyssoprack.common.NetworkAddress
+import org.hyssoprack.common.SilentEventLog
+import org.hyssoprack.standins.common.StandInServer
+
+/** An emulated engine with its HTTP server, for a process of its own or inside a test. */
+class EngineServer(settings: EngineSettings, log: EventLog = SilentEventLog) : AutoCloseable {
+    private val scope = CoroutineScope(SupervisorJob())
+    private val core = EngineCore(settings = settings, log = log)
+    private val faultSwitch = FaultSwitch(core)
+    private val ip = settings.address.substringBeforeLast(':')
+    private val server = StandInServer.build(
+        NetworkAddress(ip = ip, port = settings.address.substringAfterLast(':').toInt())
+    ) {
+        CompletionRoutes(core = core, faults = faultSwitch).install(this)
+        EngineRoutes(core = core, faults = faultSwitch).install(this)
+    }
+
+    /** Starts the engine; returns the address that it listens on. */
+    fun start(): NetworkAddress {
+        core.start(scope)
+        server.start(wait = false)
+        val port = runBlocking { server.engine.resolvedConnectors().first().port }
+        return NetworkAddress(ip = ip, port = port)
+    }
+
+    /** Replaces the faults in force. */
+    fun setFaults(faults: EngineFaults) = faultSwitch.set(faults)
+
+    override fun close() {
+        server.stop(gracePeriodMillis = 0, timeoutMillis = STOP_TIMEOUT_MS)
+        scope.cancel()
+    }
+
+    private companion object {
+        const val STOP_TIMEOUT_MS = 500L
+    }
+}
--- /dev/null
+++ b/testing/standins/src/main/kotlin/org/hyssoprack/standins/engine/KvExport.kt
@@ -0,0 +1,13 @@
+package org.hyssoprack.standins.engine
+
+import kotlinx.serialization.Serializable
+
+/** State of a request that moves from one emulated engine to another, in place of its KV cache. */
+@Serializable
+internal data class KvExport(
+    val id: String,
+    val marker: String,
+    val promptTokens: Int,
+    val maxTokens: Int,
+    val produced: Int
+)
--- /dev/null
+++ b/testing/standins/src/main/kotlin/org/hyssoprack/standins/engine/RunState.kt
@@ -0,0 +1,7 @@
+package org.hyssoprack.standins.engine
+
+import kotlinx.serialization.Serializable
+
+/** Stage of a request on an emulated engine. */
+@Serializable
+internal enum class RunState { QUEUED, PREFILL, DECODE, SUSPENDED, ENDED }
--- /dev/null
+++ b/testing/standins/src/main/kotlin/org/hyssoprack/standins/engine/TokenStream.kt
@@ -0,0 +1,91 @@
+package org.hyssoprack.standins.engine
+
+import io.ktor.utils.io.ByteWriteChannel
+import io.ktor.utils.io.writeStringUtf8
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.flow.first
+import kotlinx.coroutines.withTimeoutOrNull
+import org.hyssoprack.standins.common.StreamCutException
+
+/** Writes the tokens of one request to one connection, from [offset] on. */
+internal class TokenStream(
+    private val run: EngineRun,
+    private val chunks: ChunkWriter,
+    private val otherChunks: ChunkWriter,
+    private val offset: Int,
+    private val tamper: StreamTamper,
+    private val faultAfterTokens: Int
+) {
+    private var next = offset
+
+    /** Writes until the request has ended, or until the fault of this stream says to stop. */
+    suspend fun writeTo(output: ByteWriteChannel) {
+        output.writeStringUtf8(": accepted\n\n")
+        output.flush()
+        var progress = run.progress.value
+        while (true) {
+            writeTokens(output, progress.produced)
+            if (isFaultDue()) return stop()
+            if (progress.endReason != null) return finish(output, progress)
+            progress = nextProgress(output, progress)
+        }
+    }
+
+    private suspend fun nextProgress(output: ByteWriteChannel, seen: RunProgress): RunProgress {
+        while (true) {
+            val changed = withTimeoutOrNull(KEEP_ALIVE_MS) { run.progress.first { it != seen } }
+            if (changed != null) return changed
+            if (seen.state != RunState.QUEUED && seen.state != RunState.SUSPENDED) continue
+            output.writeStringUtf8(": waiting\n\n")
+            output.flush()
+        }
+    }
+
+    private suspend fun writeTokens(output: ByteWriteChannel, produced: Int) {
+        if (next >= produced) return
+        val text = StringBuilder()
+        while (next < produced && !isFaultDue()) {
+            if (!isLeftOut(next)) text.append("data: ").append(token(next)).append("\n\n")
+            next++
+        }
+        output.writeStringUtf8(text.toString())
+        output.flush()
+    }
+
+    private fun token(index: Int): String {
+        val mixed = tamper == StreamTamper.MIX && index >= faultAfterTokens
+        val swapped = tamper == StreamTamper.SWAP_ID
+        return if (mixed || swapped) otherChunks.token(index) else chunks.token(index)
+    }
+
+    private fun isLeftOut(index: Int): Boolean = when (tamper) {
+        StreamTamper.SKIP -> index == faultAfterTokens
+        StreamTamper.SHORT -> index == run.maxTokens - 1
+        else -> false
+    }
+
+    private fun isFaultDue(): Boolean {
+        if (tamper != StreamTamper.FREEZE && tamper != StreamTamper.CUT) return false
+        return next - offset >= faultAfterTokens
+    }
+
+    private suspend fun stop() {
+        if (tamper == StreamTamper.FREEZE) delay(FREEZE_MS)
+        throw StreamCutException()
+    }
+
+    private suspend fun finish(output: ByteWriteChannel, progress: RunProgress) {
+        val reason = progress.endReason ?: return
+        if (reason == EndReason.DONE) {
+            output.writeStringUtf8("data: ${chunks.last(run)}\n\ndata: [DONE]\n\n")
+        } else {
+            output.writeStringUtf8("data: ${chunks.error(run, reason)}\n\n")
+        }
+        output.flush()
+    }
+
+    private companion object {
+        const val KEEP_ALIVE_MS = 200L
+        const val FREEZE_MS = 120_000L
+    }
+}
--- /dev/null
+++ b/testing/standins/src/main/kotlin/org/hyssoprack/standins/service/ServiceFaultSwitch.kt
@@ -0,0 +1,35 @@
+package org.hyssoprack.standins.service
+
+/** Hands out the faults that are switched on, each as often as was asked for. */
+internal class ServiceFaultSwitch {
+    /** Faults in force now. */
+    @Volatile
+    var faults = ServiceFaults()
+        private set
+
+    /** Replaces all faults. */
+    @Synchronized
+    fun set(faults: ServiceFaults) {
+        this.faults = faults
+    }
+
+    /** True if [fault] shall spoil the next call. */
+    @Synchronized
+    fun take(fault: ServiceFault): Boolean {
+        if (left(fault) <= 0) return false
+        faults = when (fault) {
+            ServiceFault.LOSE_REPLY -> faults.copy(loseReplyNext = faults.loseReplyNext - 1)
+            ServiceFault.SWAP_ID -> faults.copy(swapIdNext = faults.swapIdNext - 1)
+            ServiceFault.CUT -> faults.copy(cutNext = faults.cutNext - 1)
+            ServiceFault.REFUSE -> faults.copy(refuseNext = faults.refuseNext - 1)
+        }
+        return true
+    }
+
+    private fun left(fault: ServiceFault): Int = when (fault) {
+        ServiceFault.LOSE_REPLY -> faults.loseReplyNext
+        ServiceFault.SWAP_ID -> faults.swapIdNext
+        ServiceFault.CUT -> faults.cutNext
+        ServiceFault.REFUSE -> faults.refuseNext
+    }
+}
