--- /dev/null
+++ b/backend/http/src/main/kotlin/org/hyssoprack/backend/http/TransportFailure.kt
@@ -0,0 +1,29 @@
+package org.hyssoprack.backend.http
+
+import io.ktor.client.network.sockets.ConnectTimeoutException
+import io.ktor.util.network.UnresolvedAddressException
+import java.net.ConnectException
+import java.net.NoRouteToHostException
+import org.hyssoprack.common.Failure
+import org.hyssoprack.common.ResultCode
+import org.hyssoprack.platform.BackendServer
+
+/** Tells from an exception of the HTTP client whether a call may have reached its server. */
+internal object TransportFailure {
+    /** BACKEND_REFUSED if no connection came about, else [otherwise]. */
+    fun of(server: BackendServer, cause: Throwable, otherwise: ResultCode): Failure {
+        if (neverConnected(cause)) {
+            return Failure(
+                code = ResultCode.BACKEND_REFUSED,
+                detail = "No connection to ${server.id} came about: ${cause.message}"
+            )
+        }
+        return Failure(code = otherwise, detail = "The call to ${server.id} broke: $cause")
+    }
+
+    private fun neverConnected(cause: Throwable): Boolean = when (cause) {
+        is ConnectTimeoutException, is ConnectException -> true
+        is NoRouteToHostException, is UnresolvedAddressException -> true
+        else -> false
+    }
+}
