--- a/core/membership/src/main/kotlin/org/hyssoprack/membership/MemberMessage.kt
+++ b/core/membership/src/main/kotlin/org/hyssoprack/membership/MemberMessage.kt
@@ -6,33 +6,79 @@
 import org.hyssoprack.common.HostMessage
 import org.hyssoprack.common.HostRef
 
-/** Messages by which hosts probe each other. Each carries a few members' digests along. */
+/** Messages by which hosts probe each other and keep their lists of members equal. */
 @Serializable
 sealed interface MemberMessage : HostMessage {
-    val digests: List<Member>
+    /** The sender's own status. */
+    val status: MemberStatus
+
+    /** News about members that the sender passes on. */
+    val digests: List<MemberDigest>
 
     /** Asks for a [Pong]. */
     @Serializable
     @SerialName("mp")
-    data class Ping(val sequence: Long, override val digests: List<Member>) : MemberMessage
+    data class Ping(
+        @SerialName("n") val sequence: Long,
+        @SerialName("s") override val status: MemberStatus,
+        @SerialName("d") override val digests: List<MemberDigest> = emptyList()
+    ) : MemberMessage
 
     /** Asks the receiver to probe [target] on the sender's behalf. */
     @Serializable
     @SerialName("mi")
     data class IndirectPing(
-        val sequence: Long,
-        val target: HostId,
-        override val digests: List<Member>
+        @SerialName("n") val sequence: Long,
+        @SerialName("t") val target: HostId,
+        @SerialName("s") override val status: MemberStatus,
+        @SerialName("d") override val digests: List<MemberDigest> = emptyList()
     ) : MemberMessage
 
-    /** Answers a ping; [about] is the host incarnation that proved to be alive. */
+    /** Answers a ping; [about] is the host run that proved to be alive, null for the sender. */
     @Serializable
     @SerialName("mo")
-    data class Pong(val sequence: Long, val about: HostRef, override val digests: List<Member>) :
-        MemberMessage
+    data class Pong(
+        @SerialName("n") val sequence: Long,
+        @SerialName("s") override val status: MemberStatus,
+        @SerialName("a") val about: HostRef? = null,
+        @SerialName("d") override val digests: List<MemberDigest> = emptyList()
+    ) : MemberMessage
 
-    /** Asks for or brings the whole list of members, when a host joins or after a partition. */
+    /** Introduces the sender, and asks for the whole list of members in a [Sync]. */
     @Serializable
     @SerialName("mj")
-    data class Sync(val reply: Boolean, override val digests: List<Member>) : MemberMessage
+    data class Join(
+        @SerialName("s") override val status: MemberStatus,
+        @SerialName("d") override val digests: List<MemberDigest>
+    ) : MemberMessage
+
+    /** Asks the receiver to compare its list with the hashes of the sender's buckets of members. */
+    @Serializable
+    @SerialName("mc")
+    data class Compare(
+        @SerialName("s") override val status: MemberStatus,
+        @SerialName("h") val hashes: List<Int>,
+        @SerialName("d") override val digests: List<MemberDigest> = emptyList()
+    ) : MemberMessage
+
+    /**
+     * Brings the sender's members in the [buckets] that differ, of [bucketCount] in all, and asks
+     * for those that the receiver knows better.
+     */
+    @Serializable
+    @SerialName("md")
+    data class Differ(
+        @SerialName("s") override val status: MemberStatus,
+        @SerialName("c") val bucketCount: Int,
+        @SerialName("b") val buckets: List<Int>,
+        @SerialName("d") override val digests: List<MemberDigest>
+    ) : MemberMessage
+
+    /** Brings members that the receiver lacks. */
+    @Serializable
+    @SerialName("my")
+    data class Sync(
+        @SerialName("s") override val status: MemberStatus,
+        @SerialName("d") override val digests: List<MemberDigest>
+    ) : MemberMessage
 }
--- /dev/null
+++ b/core/membership/src/main/kotlin/org/hyssoprack/membership/MemberProfile.kt
@@ -0,0 +1,16 @@
+package org.hyssoprack.membership
+
+import kotlinx.serialization.SerialName
+import kotlinx.serialization.Serializable
+import org.hyssoprack.common.FailureDomain
+import org.hyssoprack.common.NetworkAddress
+import org.hyssoprack.common.Region
+
+/** What stays the same during one run of a host. */
+@Serializable
+data class MemberProfile(
+    @SerialName("a") val linkAddress: NetworkAddress,
+    @SerialName("c") val callerAddress: NetworkAddress,
+    @SerialName("f") val domain: FailureDomain,
+    @SerialName("g") val region: Region
+)
--- /dev/null
+++ b/core/membership/src/main/kotlin/org/hyssoprack/membership/MemberRow.kt
@@ -0,0 +1,28 @@
+package org.hyssoprack.membership
+
+import kotlinx.serialization.Serializable
+import org.hyssoprack.common.HostRef
+
+/** Body of the table row by which a host run is found. */
+@Serializable
+internal data class MemberRow(val ref: HostRef, val profile: MemberProfile) {
+    fun toMember(): Member = Member(
+        ref = ref,
+        linkAddress = profile.linkAddress,
+        callerAddress = profile.callerAddress,
+        domain = profile.domain,
+        region = profile.region
+    )
+
+    companion object {
+        fun of(member: Member): MemberRow = MemberRow(
+            ref = member.ref,
+            profile = MemberProfile(
+                linkAddress = member.linkAddress,
+                callerAddress = member.callerAddress,
+                domain = member.domain,
+                region = member.region
+            )
+        )
+    }
+}
--- /dev/null
+++ b/core/membership/src/main/kotlin/org/hyssoprack/membership/MemberTable.kt
@@ -0,0 +1,203 @@
+package org.hyssoprack.membership
+
+import kotlin.random.Random
+import org.hyssoprack.common.BundleVersion
+import org.hyssoprack.common.HostId
+import org.hyssoprack.common.HostRef
+import org.hyssoprack.common.NetworkAddress
+
+/**
+ * Decides what one host believes of its peers and what it tells them. No I/O and no threads; all
+ * times are the host's monotonic clock in milliseconds.
+ *
+ * @param self this host's run.
+ * @param startMs time at which the host starts.
+ */
+class MemberTable(
+    private val self: Member,
+    private val settings: MembershipSettings,
+    private val random: Random,
+    startMs: Long
+) {
+    private val own = OwnStatus(self)
+    private val beliefs = MemberBeliefs(own, settings)
+    private val comparison = MemberComparison(own, beliefs)
+    private val probes = ProbeList(settings)
+    private val order = ProbeOrder(random)
+    private var memberCount = 1
+    private var shown: ShownView? = null
+    private var lastTickMs = startMs
+    private var nextProbeMs = startMs
+    private var nextHealMs = startMs
+    private var nextCompareMs = startMs + settings.compareIntervalMs
+    private var nextAskMs = startMs
+
+    private class ShownView(val version: Long, val view: MemberView)
+
+    /** Does what time demands; called about every 50 ms. */
+    fun tick(nowMs: Long): List<MemberOutput> {
+        memberCount = beliefs.memberCount
+        if (nowMs - lastTickMs > settings.pauseMs) resumeAfterPause(nowMs)
+        lastTickMs = nowMs
+        val out = mutableListOf<MemberOutput>()
+        out += probeIndirectly(nowMs)
+        probes.takeFailed(nowMs).forEach { out += beliefs.suspect(nowMs, it.target) }
+        out += beliefs.endSuspicions(nowMs)
+        if (nowMs >= nextProbeMs) out += probeNext(nowMs)
+        if (nowMs >= nextHealMs) out += probeDead(nowMs)
+        if (nowMs >= nextCompareMs) out += compareWithRandom(nowMs)
+        out += beliefs.forgetOld(nowMs)
+        return out
+    }
+
+    /** Handles a message of a peer. */
+    fun receive(nowMs: Long, from: HostRef, message: MemberMessage): List<MemberOutput> {
+        if (from.host == self.ref.host) return emptyList()
+        val out = mutableListOf<MemberOutput>()
+        message.digests.forEach { out += beliefs.learn(nowMs, it) }
+        out += beliefs.hear(nowMs, from, message.status)
+        if (!beliefs.knows(from)) out += askUnknown(nowMs, from)
+        out += answer(nowMs, from, message)
+        return out
+    }
+
+    /** Sets what peers learn of this host; [load] in percent. */
+    fun announce(load: Int, bundle: BundleVersion) = own.announce(load, bundle)
+
+    /** Starts to tell peers that this host is leaving. */
+    fun leave() {
+        if (own.leave()) beliefs.spreadOwn()
+    }
+
+    /** Introduces this host to the one at [seed], and asks for the list of members. */
+    fun join(seed: NetworkAddress): List<MemberOutput> {
+        val message = MemberMessage.Join(own.current, listOf(own.digest()))
+        return listOf(MemberOutput.SendTo(seed, message))
+    }
+
+    /** What this host believes now. */
+    fun view(): MemberView {
+        val version = beliefs.version + own.version
+        val members = shown?.takeIf { it.version == version }?.view?.members ?: members()
+        val reachable = reachable()
+        val old = shown?.view
+        if (old != null && old.members === members && old.reachable == reachable) return old
+        val view = MemberView(members = members, reachable = reachable)
+        shown = ShownView(version, view)
+        return view
+    }
+
+    private fun members(): Map<HostId, Member> {
+        val peers = beliefs.all.associate { it.digest.host to it.toMember() }
+        return peers + (self.ref.host to own.member())
+    }
+
+    // Members that left are no sign of a partition; dead ones are, for as long as they are known.
+    private fun reachable(): Double {
+        if (own.isSuperseded) return 0.0
+        val counted = beliefs.all.filter { !it.left && it.digest.state != MemberState.LEAVING }
+        if (counted.isEmpty()) return 1.0
+        val alive = counted.count { it.digest.state == MemberState.ALIVE }
+        return minOf(alive / counted.size.toDouble(), probes.answeredShare(counted.size))
+    }
+
+    // After a pause all timers have run out at once; none of that says anything about the peers.
+    private fun resumeAfterPause(nowMs: Long) {
+        probes.clear()
+        nextProbeMs = nowMs
+        beliefs.restartSuspicions(nowMs)
+    }
+
+    private fun probeNext(nowMs: Long): List<MemberOutput> {
+        nextProbeMs = nowMs + settings.probeIntervalMs(memberCount)
+        val hosts = beliefs.all.map { it.digest.host }
+        val host = order.next(hosts) { beliefs[it]?.isDead == false } ?: return emptyList()
+        val target = beliefs[host]?.digest?.ref ?: return emptyList()
+        return listOf(ping(target.host, probes.start(nowMs, target).sequence))
+    }
+
+    private fun ping(to: HostId, sequence: Long): MemberOutput =
+        send(to, MemberMessage.Ping(sequence, own.current, newsFor(to)))
+
+    private fun probeIndirectly(nowMs: Long): List<MemberOutput> =
+        probes.takeIndirectDue(nowMs).flatMap { probe ->
+            helpers(probe.target.host).map { askToProbe(helper = it, probe = probe) }
+        }
+
+    private fun askToProbe(helper: HostId, probe: Probe): MemberOutput {
+        val target = probe.target.host
+        val news = newsFor(helper)
+        return send(helper, MemberMessage.IndirectPing(probe.sequence, target, own.current, news))
+    }
+
+    private fun helpers(target: HostId): List<HostId> = beliefs.all
+        .filter { it.digest.state == MemberState.ALIVE && it.digest.host != target }
+        .map { it.digest.host }
+        .shuffled(random)
+        .take(settings.indirectProbes)
+
+    private fun probeDead(nowMs: Long): List<MemberOutput> {
+        nextHealMs = nowMs + settings.healIntervalMs
+        val dead = beliefs.all.filter { it.isDead && !it.left }
+        val host = dead.randomOrNull(random)?.digest?.host ?: return emptyList()
+        return listOf(ping(host, probes.untracked()))
+    }
+
+    private fun compareWithRandom(nowMs: Long): List<MemberOutput> {
+        nextCompareMs = nowMs + settings.compareIntervalMs
+        val alive = beliefs.all.filter { it.digest.state == MemberState.ALIVE }
+        val host = alive.randomOrNull(random)?.digest?.host ?: return emptyList()
+        return listOf(send(host, comparison.ask(newsFor(host))))
+    }
+
+    private fun askUnknown(nowMs: Long, from: HostRef): List<MemberOutput> {
+        if (nowMs < nextAskMs) return emptyList()
+        nextAskMs = nowMs + ASK_INTERVAL_MS
+        return listOf(send(from.host, comparison.ask(newsFor(from.host))))
+    }
+
+    private fun answer(nowMs: Long, from: HostRef, message: MemberMessage): List<MemberOutput> {
+        val output = when (message) {
+            is MemberMessage.Ping -> send(from.host, pong(from.host, message))
+            is MemberMessage.IndirectPing -> probeFor(nowMs, from, message)
+            is MemberMessage.Pong -> passOn(message)
+            is MemberMessage.Join -> send(from.host, list())
+            is MemberMessage.Compare -> comparison.answer(message)?.let { send(from.host, it) }
+            is MemberMessage.Differ -> comparison.answer(message)?.let { send(from.host, it) }
+            is MemberMessage.Sync -> null
+        }
+        return listOfNotNull(output)
+    }
+
+    private fun pong(to: HostId, ping: MemberMessage.Ping): MemberMessage =
+        MemberMessage.Pong(ping.sequence, own.current, about = null, digests = newsFor(to))
+
+    private fun list(): MemberMessage = MemberMessage.Sync(own.current, beliefs.digests())
+
+    private fun probeFor(
+        nowMs: Long,
+        from: HostRef,
+        message: MemberMessage.IndirectPing
+    ): MemberOutput? {
+        val target = beliefs[message.target]?.digest?.ref ?: return null
+        val probe = probes.start(nowMs, target, from.host, message.sequence)
+        return ping(target.host, probe.sequence)
+    }
+
+    private fun passOn(pong: MemberMessage.Pong): MemberOutput? {
+        val probe = probes.answered(pong.sequence) ?: return null
+        val origin = probe.origin ?: return null
+        val news = newsFor(origin)
+        val answer = MemberMessage.Pong(probe.originSequence, own.current, probe.target, news)
+        return send(origin, answer)
+    }
+
+    private fun newsFor(host: HostId): List<MemberDigest> = beliefs.newsFor(host, memberCount)
+
+    private fun send(to: HostId, message: MemberMessage): MemberOutput =
+        MemberOutput.Send(to, message)
+
+    private companion object {
+        const val ASK_INTERVAL_MS = 200L
+    }
+}
--- /dev/null
+++ b/core/membership/src/main/kotlin/org/hyssoprack/membership/SwimMembership.kt
@@ -0,0 +1,164 @@
+package org.hyssoprack.membership
+
+import kotlin.random.Random
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.ExperimentalCoroutinesApi
+import kotlinx.coroutines.channels.Channel
+import kotlinx.coroutines.flow.MutableStateFlow
+import kotlinx.coroutines.flow.StateFlow
+import kotlinx.coroutines.flow.asStateFlow
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.selects.onTimeout
+import kotlinx.coroutines.selects.select
+import org.hyssoprack.common.BackendServerId
+import org.hyssoprack.common.BundleVersion
+import org.hyssoprack.common.Clock
+import org.hyssoprack.common.EventLog
+import org.hyssoprack.common.HostRef
+import org.hyssoprack.common.NetworkAddress
+import org.hyssoprack.common.SilentEventLog
+import org.hyssoprack.common.SystemClock
+import org.hyssoprack.common.eq
+import org.hyssoprack.link.Link
+
+/**
+ * [Membership] by probing between hosts in the manner of SWIM: a [MemberTable] driven by one task.
+ *
+ * @param self this host's run.
+ * @param link carries the messages; the owner of the link passes received ones to [receive].
+ * @param seeds link addresses of hosts through which to join, from the settings.
+ * @param directory lasting list of hosts; null to join through [seeds] alone.
+ */
+class SwimMembership(
+    private val self: Member,
+    private val link: Link,
+    seeds: List<NetworkAddress>,
+    directory: MemberDirectory? = null,
+    private val settings: MembershipSettings = MembershipSettings(),
+    private val clock: Clock = SystemClock,
+    private val log: EventLog = SilentEventLog,
+    private val random: Random = Random.Default
+) : Membership {
+    private val table = MemberTable(self, settings, random, clock.nowMs())
+    private val seeds = (seeds - self.linkAddress).toMutableSet()
+    private val commands = Channel<MemberCommand>(COMMAND_LIMIT)
+    private val rows = directory?.let { found ->
+        DirectoryTask(self, found, log) { commands.send(MemberCommand.AddSeeds(it)) }
+    }
+    private val forgotten = Channel<HostRef>(COMMAND_LIMIT)
+    private val ownership = RendezvousOwnership()
+    private val current = MutableStateFlow(table.view())
+    private var nextTickMs = clock.nowMs()
+    private var nextJoinMs = clock.nowMs()
+
+    override val view: StateFlow<MemberView> = current.asStateFlow()
+
+    /** Starts the tasks in [scope]; they run until it is cancelled. */
+    fun start(scope: CoroutineScope) {
+        scope.launch { run() }
+        if (rows != null) scope.launch { keepRows(rows) }
+    }
+
+    override fun receive(from: HostRef, message: MemberMessage) {
+        commands.trySend(MemberCommand.Receive(from, message))
+    }
+
+    override fun announce(load: Int, bundle: BundleVersion) {
+        commands.trySend(MemberCommand.Announce(load, bundle))
+    }
+
+    override fun leave() {
+        commands.trySend(MemberCommand.Leave)
+    }
+
+    private suspend fun keepRows(rows: DirectoryTask) {
+        rows.join()
+        for (ref in forgotten) rows.remove(ref)
+    }
+
+    private suspend fun run() {
+        while (true) {
+            val command = nextCommand()
+            if (command != null) handle(command)
+            if (clock.nowMs() >= nextTickMs) tick()
+            current.value = table.view()
+        }
+    }
+
+    @OptIn(ExperimentalCoroutinesApi::class)
+    private suspend fun nextCommand(): MemberCommand? = select {
+        commands.onReceive { it }
+        onTimeout((nextTickMs - clock.nowMs()).coerceAtLeast(0)) { null }
+    }
+
+    private fun handle(command: MemberCommand) {
+        when (command) {
+            is MemberCommand.Receive ->
+                perform(table.receive(clock.nowMs(), command.from, command.message))
+
+            is MemberCommand.Announce -> table.announce(command.load, command.bundle)
+            is MemberCommand.AddSeeds -> seeds += command.addresses - self.linkAddress
+            MemberCommand.Leave -> leaveNow()
+        }
+    }
+
+    private fun leaveNow() {
+        table.leave()
+        log.event("member-leaving", "host" eq self.ref)
+    }
+
+    private fun tick() {
+        val nowMs = clock.nowMs()
+        nextTickMs = nowMs + TICK_MS
+        perform(table.tick(nowMs))
+        if (nowMs >= nextJoinMs) join(nowMs)
+    }
+
+    // Alone: join soon. Otherwise: seeds that no live member accounts for may be a part of the
+    // system that has been cut off for longer than its members are remembered.
+    private fun join(nowMs: Long) {
+        val others = table.view().members.values.filter {
+            it.ref != self.ref && it.state != MemberState.DEAD
+        }
+        val isAlone = others.isEmpty()
+        nextJoinMs = nowMs + if (isAlone) settings.joinIntervalMs else SEED_CHECK_INTERVAL_MS
+        val known = others.map { it.linkAddress }.toSet()
+        val seed = (seeds - known).randomOrNull(random) ?: return
+        perform(table.join(seed))
+    }
+
+    private fun perform(outputs: List<MemberOutput>) {
+        outputs.forEach { perform(it) }
+    }
+
+    private fun perform(output: MemberOutput) {
+        when (output) {
+            is MemberOutput.Send -> link.send(output.to, output.message)
+            is MemberOutput.SendTo -> link.sendTo(output.address, output.message)
+            is MemberOutput.Changed -> changed(output)
+            is MemberOutput.Forgotten -> forget(output)
+        }
+    }
+
+    private fun changed(output: MemberOutput.Changed) {
+        if (output.state != MemberState.DEAD) link.setAddress(output.ref.host, output.address)
+        log.event(
+            "member-changed",
+            "host" eq output.ref,
+            "state" eq output.state.name.lowercase()
+        )
+    }
+
+    // One live host removes the row, chosen as the owner of a server of that name would be.
+    private fun forget(output: MemberOutput.Forgotten) {
+        val name = BackendServerId(output.ref.host.value)
+        val remover = ownership.owner(table.view(), name, output.domain)
+        if (remover == self.ref.host) forgotten.trySend(output.ref)
+    }
+
+    private companion object {
+        const val TICK_MS = 50L
+        const val COMMAND_LIMIT = 4_096
+        const val SEED_CHECK_INTERVAL_MS = 10_000L
+    }
+}
--- /dev/null
+++ b/core/membership/src/main/kotlin/org/hyssoprack/membership/TableMemberDirectory.kt
@@ -0,0 +1,88 @@
+package org.hyssoprack.membership
+
+import arrow.core.Either
+import arrow.core.left
+import arrow.core.raise.either
+import arrow.core.right
+import kotlinx.serialization.json.Json
+import org.hyssoprack.common.Failure
+import org.hyssoprack.common.HostId
+import org.hyssoprack.common.HostRef
+import org.hyssoprack.common.ResultCode
+import org.hyssoprack.platform.Row
+import org.hyssoprack.platform.RowKey
+import org.hyssoprack.platform.TableService
+import org.hyssoprack.platform.WriteResult
+
+/** [MemberDirectory] with one row of the table service for each host. */
+class TableMemberDirectory(private val table: TableService) : MemberDirectory {
+    private val json = Json { ignoreUnknownKeys = true }
+
+    override suspend fun register(self: Member): Either<Failure, Unit> {
+        val value = json.encodeToString(MemberRow.serializer(), MemberRow.of(self))
+        return register(self.ref, value, current = null)
+    }
+
+    override suspend fun list(): Either<Failure, List<Member>> =
+        table.scan(TABLE, prefix = "").map { rows -> rows.mapNotNull { rowOf(it)?.toMember() } }
+
+    override suspend fun remove(dead: HostRef): Either<Failure, Unit> = either {
+        val row = table.read(key(dead.host)).bind() ?: return@either
+        val ref = rowOf(row)?.ref
+        if (ref != null && ref.incarnation > dead.incarnation) return@either
+        when (val result = table.compareAndDelete(row.key, row.revision)) {
+            is WriteResult.Applied, is WriteResult.Conflict -> Unit
+            is WriteResult.Refused -> raise(result.failure)
+            is WriteResult.Undecided -> raise(undecided(result.failure))
+        }
+    }
+
+    private suspend fun register(
+        ref: HostRef,
+        value: String,
+        current: Row?
+    ): Either<Failure, Unit> {
+        val known = current?.let { rowOf(it)?.ref }
+        if (known == ref) return Unit.right()
+        if (known != null && known.incarnation > ref.incarnation) return superseded(known).left()
+        return when (val result = table.compareAndSet(key(ref.host), revisionOf(current), value)) {
+            is WriteResult.Applied -> Unit.right()
+
+            is WriteResult.Conflict ->
+                if (result.current == current) {
+                    superseded(ref).left()
+                } else {
+                    register(ref, value, result.current)
+                }
+
+            is WriteResult.Refused -> result.failure.left()
+            is WriteResult.Undecided -> readBack(ref, result.failure)
+        }
+    }
+
+    private suspend fun readBack(ref: HostRef, failure: Failure): Either<Failure, Unit> =
+        table.read(key(ref.host)).fold(
+            { undecided(failure).left() },
+            { row ->
+                val isOwn = row != null && rowOf(row)?.ref == ref
+                if (isOwn) Unit.right() else undecided(failure).left()
+            }
+        )
+
+    private fun rowOf(row: Row): MemberRow? =
+        Either.catch { json.decodeFromString(MemberRow.serializer(), row.value) }.getOrNull()
+
+    private fun revisionOf(row: Row?): Long = row?.revision ?: 0
+
+    private fun key(host: HostId): RowKey = RowKey(table = TABLE, key = host.value)
+
+    private fun undecided(failure: Failure): Failure =
+        Failure(ResultCode.OUTCOME_UNDECIDED, failure.detail)
+
+    private fun superseded(ref: HostRef): Failure =
+        Failure(ResultCode.LEASE_HELD, "run $ref is registered")
+
+    private companion object {
+        const val TABLE = "members"
+    }
+}
--- a/link/tcp/src/main/kotlin/org/hyssoprack/link/tcp/ConnectionOpener.kt
+++ b/link/tcp/src/main/kotlin/org/hyssoprack/link/tcp/ConnectionOpener.kt
@@ -44,15 +44,14 @@
         return connection
     }
 
-    private suspend fun bounded(from: String, open: suspend () -> Connection?): Connection? =
-        try {
-            withTimeoutOrNull(settings.connectTimeoutMs) { open() }
-        } catch (e: CancellationException) {
-            throw e
-        } catch (e: Exception) {
-            log.event("link-unreachable", "address" eq from, "error" eq e.message)
-            null
-        }
+    private suspend fun bounded(from: String, open: suspend () -> Connection?): Connection? = try {
+        withTimeoutOrNull(settings.connectTimeoutMs) { open() }
+    } catch (e: CancellationException) {
+        throw e
+    } catch (e: Exception) {
+        log.event("link-unreachable", "address" eq from, "error" eq e.message)
+        null
+    }
 
     private suspend fun greet(socket: Socket, accepted: Boolean): Connection? {
         val frames = FrameSocket(socket, codec, counters, settings.maxFrameBytes)
--- a/link/tcp/src/main/kotlin/org/hyssoprack/link/tcp/TcpLink.kt
+++ b/link/tcp/src/main/kotlin/org/hyssoprack/link/tcp/TcpLink.kt
@@ -16,8 +16,8 @@
 import kotlinx.coroutines.channels.Channel
 import kotlinx.coroutines.channels.ReceiveChannel
 import kotlinx.coroutines.delay
-import kotlinx.coroutines.launch
 import kotlinx.coroutines.job
+import kotlinx.coroutines.launch
 import kotlinx.serialization.modules.SerializersModule
 import org.hyssoprack.common.Clock
 import org.hyssoprack.common.EventLog
