--- a/core/common/src/main/kotlin/org/hyssoprack/common/ContentHash.kt
+++ b/core/common/src/main/kotlin/org/hyssoprack/common/ContentHash.kt
@@ -24,7 +24,6 @@
         fun of(text: String): ContentHash = of(text.toByteArray())
 
         /** The hash that [text] spells, or null if it is not of the form. */
-        fun parse(text: String): ContentHash? =
-            if (FORM.matches(text)) ContentHash(text) else null
+        fun parse(text: String): ContentHash? = if (FORM.matches(text)) ContentHash(text) else null
     }
 }
--- a/daemon/src/main/kotlin/org/hyssoprack/daemon/BackendServerRow.kt
+++ b/daemon/src/main/kotlin/org/hyssoprack/daemon/BackendServerRow.kt
@@ -22,5 +22,5 @@
     val limit: Int? = null,
     val lent: Int? = null,
     val waiting: List<Int>? = null,
-    val tokenMs: Double? = null,
+    val tokenMs: Double? = null
 )
--- a/daemon/src/main/kotlin/org/hyssoprack/daemon/CallerHostsBody.kt
+++ b/daemon/src/main/kotlin/org/hyssoprack/daemon/CallerHostsBody.kt
@@ -7,5 +7,5 @@
 @Serializable
 internal data class CallerHostsBody(
     @SerialName("ttl_ms") val ttlMs: Long,
-    val hosts: List<CallerHostBody>,
+    val hosts: List<CallerHostBody>
 )
--- a/daemon/src/main/kotlin/org/hyssoprack/daemon/CallerServer.kt
+++ b/daemon/src/main/kotlin/org/hyssoprack/daemon/CallerServer.kt
@@ -21,8 +21,8 @@
 import org.hyssoprack.common.HostRef
 import org.hyssoprack.common.NetworkAddress
 import org.hyssoprack.common.ResultCode
-import org.hyssoprack.host.AdmittedRequest
 import org.hyssoprack.host.Admission
+import org.hyssoprack.host.AdmittedRequest
 import org.hyssoprack.host.CallerCall
 import org.hyssoprack.host.Drain
 import org.hyssoprack.host.OutcomeRecorder
@@ -38,7 +38,7 @@
     private val drain: Drain,
     private val bodies: BodyReader,
     private val recorder: OutcomeRecorder,
-    private val directory: () -> CallerHostsBody,
+    private val directory: () -> CallerHostsBody
 ) {
     /** Starts listening. */
     fun start(): EmbeddedServer<CIOApplicationEngine, CIOApplicationEngine.Configuration> =
@@ -50,7 +50,7 @@
                     port = address.port
                 }
                 connectionIdleTimeoutSeconds = IDLE_TIMEOUT_SECONDS
-            },
+            }
         ) {
             install(HttpRequestLifecycle) { cancelCallOnClose = true }
             routing {
@@ -103,7 +103,7 @@
             attempt = request.header(CallerHeaders.ATTEMPT),
             idempotencyKey = request.header(CallerHeaders.IDEMPOTENCY_KEY),
             deadline = request.header(CallerHeaders.DEADLINE),
-            lane = request.header(CallerHeaders.LANE),
+            lane = request.header(CallerHeaders.LANE)
         )
     }
 
--- a/daemon/src/main/kotlin/org/hyssoprack/daemon/CompletionResponder.kt
+++ b/daemon/src/main/kotlin/org/hyssoprack/daemon/CompletionResponder.kt
@@ -35,7 +35,7 @@
     private suspend fun write(
         call: ApplicationCall,
         request: AdmittedRequest,
-        parts: ReceiveChannel<AnswerPart>,
+        parts: ReceiveChannel<AnswerPart>
     ) {
         when (val first = parts.receiveCatching().getOrNull()) {
             null -> call.respondFailure(Failure(ResultCode.INTERNAL, "The request has no end."))
@@ -52,7 +52,7 @@
         call: ApplicationCall,
         request: AdmittedRequest,
         first: AnswerPart,
-        parts: ReceiveChannel<AnswerPart>,
+        parts: ReceiveChannel<AnswerPart>
     ) = call.respondBytesWriter(contentType = ContentType.Text.EventStream) {
         var part: AnswerPart? = first
         while (part != null) {
@@ -74,7 +74,7 @@
         call: ApplicationCall,
         request: AdmittedRequest,
         first: AnswerPart,
-        parts: ReceiveChannel<AnswerPart>,
+        parts: ReceiveChannel<AnswerPart>
     ) {
         val text = StringBuilder()
         var part: AnswerPart? = first
@@ -85,7 +85,7 @@
         when (part) {
             is AnswerPart.Finished -> call.respondText(
                 text = CompletionJson.whole(request, text.toString(), part.usage),
-                contentType = ContentType.Application.Json,
+                contentType = ContentType.Application.Json
             )
             is AnswerPart.Failed -> call.respondFailure(part.failure)
             else -> call.respondFailure(Failure(ResultCode.INTERNAL, "The answer has no end."))
--- a/daemon/src/main/kotlin/org/hyssoprack/daemon/DaemonMain.kt
+++ b/daemon/src/main/kotlin/org/hyssoprack/daemon/DaemonMain.kt
@@ -63,7 +63,7 @@
     }
     return SettingsReader().read(text).fold(
         { faults -> exitWith(EXIT_SETTINGS, faults.joinToString("\n") { "$file: $it" }) },
-        { it },
+        { it }
     )
 }
 
@@ -73,11 +73,11 @@
     runBlocking {
         val runtime = HostRuntime.start(settings, scope, log).fold(
             { exitWith(EXIT_UNAVAILABLE, it.toString()) },
-            { it },
+            { it }
         )
         // The hook runs on the first stop signal; later ones wait for it and cut nothing off.
         Runtime.getRuntime().addShutdownHook(
-            Thread { runBlocking { runtime.drainAndWait() } },
+            Thread { runBlocking { runtime.drainAndWait() } }
         )
     }
     Thread.currentThread().join()
--- a/daemon/src/main/kotlin/org/hyssoprack/daemon/DaemonSettings.kt
+++ b/daemon/src/main/kotlin/org/hyssoprack/daemon/DaemonSettings.kt
@@ -32,5 +32,5 @@
     val peers: List<NetworkAddress> = emptyList(),
     val operatorKeys: Map<ContentHash, OperatorName> = emptyMap(),
     val addressTtlMs: Long = 3_000,
-    val maxBodyBytes: Int = 4 * 1024 * 1024,
+    val maxBodyBytes: Int = 4 * 1024 * 1024
 )
--- a/daemon/src/main/kotlin/org/hyssoprack/daemon/ErrorBody.kt
+++ b/daemon/src/main/kotlin/org/hyssoprack/daemon/ErrorBody.kt
@@ -13,7 +13,7 @@
     val name: String,
     val outcome: String,
     val detail: String,
-    @SerialName("retry_after_ms") val retryAfterMs: Long? = null,
+    @SerialName("retry_after_ms") val retryAfterMs: Long? = null
 ) {
     /** The body as JSON. */
     fun json(): String = Json.encodeToString(this)
@@ -25,7 +25,7 @@
             name = failure.code.wireName,
             outcome = failure.code.outcome.wireName,
             detail = failure.detail,
-            retryAfterMs = failure.retryAfterMs,
+            retryAfterMs = failure.retryAfterMs
         )
     }
 }
--- a/daemon/src/main/kotlin/org/hyssoprack/daemon/HostReport.kt
+++ b/daemon/src/main/kotlin/org/hyssoprack/daemon/HostReport.kt
@@ -12,7 +12,7 @@
     private val fleet: FleetTask,
     private val owner: OwnerTask,
     private val burn: BurnRecorder,
-    private val addresses: CallerAddresses = CallerAddresses(),
+    private val addresses: CallerAddresses = CallerAddresses()
 ) {
     /** Addresses that callers may use. */
     fun callerHosts(): CallerHostsBody {
@@ -23,9 +23,9 @@
                 CallerHostBody(
                     host = it.ref.host.value,
                     incarnation = it.ref.incarnation.toString(),
-                    address = it.address.toString(),
+                    address = it.address.toString()
                 )
-            },
+            }
         )
     }
 
@@ -40,7 +40,7 @@
             link = it.linkAddress.toString(),
             callers = it.callerAddress.toString(),
             load = it.load,
-            bundle = it.bundle.value,
+            bundle = it.bundle.value
         )
     }.sortedBy { it.host }
 
@@ -64,7 +64,7 @@
                 limit = digest?.limit,
                 lent = digest?.lent,
                 waiting = digest?.waiting,
-                tokenMs = digest?.tokenMs,
+                tokenMs = digest?.tokenMs
             )
         }.sortedBy { it.id }
     }
--- a/daemon/src/main/kotlin/org/hyssoprack/daemon/HostRow.kt
+++ b/daemon/src/main/kotlin/org/hyssoprack/daemon/HostRow.kt
@@ -13,5 +13,5 @@
     val link: String,
     val callers: String,
     val load: Int,
-    val bundle: Long,
+    val bundle: Long
 )
--- a/daemon/src/main/kotlin/org/hyssoprack/daemon/HostRuntime.kt
+++ b/daemon/src/main/kotlin/org/hyssoprack/daemon/HostRuntime.kt
@@ -35,11 +35,11 @@
 import org.hyssoprack.link.Link
 import org.hyssoprack.link.tcp.TcpLink
 import org.hyssoprack.membership.Member
-import org.hyssoprack.membership.MemberMessages
 import org.hyssoprack.membership.MemberState
 import org.hyssoprack.membership.RendezvousOwnership
 import org.hyssoprack.membership.SwimMembership
 import org.hyssoprack.membership.TableMemberDirectory
+import org.hyssoprack.membership.memberMessages
 import org.hyssoprack.scheduling.DefaultEntryScheduler
 import org.hyssoprack.scheduling.DefaultOwnerScheduler
 import org.hyssoprack.scheduling.slotMessages
@@ -54,7 +54,7 @@
     private val link: Link,
     private val scope: CoroutineScope,
     private val clock: Clock,
-    private val log: EventLog,
+    private val log: EventLog
 ) {
     private val platform = PlatformClients(settings)
     private val engines = HttpEngineClient()
@@ -67,13 +67,13 @@
             linkAddress = settings.link,
             callerAddress = settings.callers,
             domain = settings.domain,
-            region = settings.region,
+            region = settings.region
         ),
         link = link,
         seeds = settings.peers,
         directory = TableMemberDirectory(platform.table),
         clock = clock,
-        log = log,
+        log = log
     )
 
     private val bundles = DefaultBundleHolder(
@@ -84,19 +84,19 @@
         peers = ::livePeers,
         peersReachable = { membership.view.value.reachable },
         clock = clock,
-        log = log,
+        log = log
     )
 
     private val entry = EntryTask(
         scheduler = DefaultEntryScheduler(self = self, ownDomain = settings.domain),
         clock = clock,
-        send = link::send,
+        send = link::send
     )
 
     private val owner = OwnerTask(
         scheduler = DefaultOwnerScheduler(self = self),
         clock = clock,
-        send = link::send,
+        send = link::send
     )
 
     private val fleet = FleetTask(
@@ -108,7 +108,7 @@
         onFleet = { fleet ->
             entry.updateFleet(fleet)
             owner.updateFleet(fleet)
-        },
+        }
     )
 
     private val watcher = BackendWatcher(
@@ -119,7 +119,7 @@
         services = services,
         clock = clock,
         send = link::send,
-        log = log,
+        log = log
     )
 
     private val requests = RequestRegistry(clock = clock, giveUpWaiting = entry::giveUp)
@@ -138,14 +138,14 @@
         claims = DefaultClaimService(table = platform.table, scope = scope, log = log),
         clock = clock,
         log = log,
-        recorder = recorder,
+        recorder = recorder
     )
 
     private val drain = Drain(
         membership = membership,
         clock = clock,
         log = log,
-        addressTtlMs = settings.addressTtlMs,
+        addressTtlMs = settings.addressTtlMs
     )
 
     private val report = HostReport(settings, membership, fleet, owner, burn)
@@ -161,7 +161,7 @@
         drain = drain,
         bodies = bodies,
         recorder = recorder,
-        directory = report::callerHosts,
+        directory = report::callerHosts
     )
 
     private val operatorServer = OperatorServer(
@@ -172,7 +172,7 @@
             objects = platform.objects,
             log = log,
             peersReachable = { membership.view.value.reachable },
-            onAccepted = { bundles.refresh() },
+            onAccepted = { bundles.refresh() }
         ),
         holder = bundles,
         state = report,
@@ -180,7 +180,7 @@
         bodies = bodies,
         drain = drain::begin,
         metrics = registry::scrape,
-        log = log,
+        log = log
     )
 
     private fun start() {
@@ -226,7 +226,7 @@
         private const val FULL_LOAD = 200
         private const val MAX_LOAD_PERCENT = 100
 
-        private val MESSAGES = slotMessages + hostMessages + MemberMessages.module +
+        private val MESSAGES = slotMessages + hostMessages + memberMessages +
             BundleMessages.module
 
         /** Starts a host in [scope]. Fails with HOST_UNREACHABLE if an address is taken. */
@@ -234,7 +234,7 @@
             settings: DaemonSettings,
             scope: CoroutineScope,
             log: EventLog,
-            clock: Clock = SystemClock,
+            clock: Clock = SystemClock
         ): Either<Failure, HostRuntime> {
             val self = HostRef(settings.host, incarnation(clock))
             return TcpLink.open(
@@ -242,13 +242,12 @@
                 listen = settings.link,
                 messages = MESSAGES,
                 clock = clock,
-                log = log,
+                log = log
             ).map { link ->
                 HostRuntime(settings, self, link, scope, clock, log).also { it.start() }
             }
         }
 
-        private fun incarnation(clock: Clock) =
-            Incarnation(clock.epochMs())
+        private fun incarnation(clock: Clock) = Incarnation(clock.epochMs())
     }
 }
--- a/daemon/src/main/kotlin/org/hyssoprack/daemon/HttpAnswers.kt
+++ b/daemon/src/main/kotlin/org/hyssoprack/daemon/HttpAnswers.kt
@@ -23,7 +23,7 @@
     respondText(
         text = ErrorBody.of(failure).json(),
         contentType = ContentType.Application.Json,
-        status = HttpStatusCode.fromValue(failure.code.httpStatus),
+        status = HttpStatusCode.fromValue(failure.code.httpStatus)
     )
 }
 
--- a/daemon/src/main/kotlin/org/hyssoprack/daemon/MetricsRecorder.kt
+++ b/daemon/src/main/kotlin/org/hyssoprack/daemon/MetricsRecorder.kt
@@ -19,7 +19,7 @@
             "tier", tier,
             "account", request.account.value,
             "code", code.wireName,
-            "in_time", end.inTime.toString(),
+            "in_time", end.inTime.toString()
         ).increment()
         val report = end.report ?: return
         report.firstTokenMs?.let {
--- a/daemon/src/main/kotlin/org/hyssoprack/daemon/OperatorServer.kt
+++ b/daemon/src/main/kotlin/org/hyssoprack/daemon/OperatorServer.kt
@@ -41,7 +41,7 @@
     private val bodies: BodyReader,
     private val drain: () -> Unit,
     private val metrics: () -> String,
-    private val log: EventLog,
+    private val log: EventLog
 ) {
     /** Starts listening. */
     fun start(): EmbeddedServer<CIOApplicationEngine, CIOApplicationEngine.Configuration> =
@@ -52,7 +52,7 @@
                     host = address.ip
                     port = address.port
                 }
-            },
+            }
         ) {
             routing {
                 get("/metrics") { call.respondText(metrics()) }
@@ -113,7 +113,7 @@
 
     private suspend fun asOperator(
         call: ApplicationCall,
-        block: suspend Raise<Failure>.(OperatorName) -> Unit,
+        block: suspend Raise<Failure>.(OperatorName) -> Unit
     ) {
         val operator = operator(call).fold({ return call.respondFailure(it) }, { it })
         val result = either { block(operator) }
@@ -123,7 +123,7 @@
             "operator-call",
             "operator" eq operator,
             "path" eq call.request.local.uri,
-            "code" eq (result.leftOrNull()?.code ?: ResultCode.OK).number,
+            "code" eq (result.leftOrNull()?.code ?: ResultCode.OK).number
         )
     }
 
--- a/daemon/src/main/kotlin/org/hyssoprack/daemon/OrderBody.kt
+++ b/daemon/src/main/kotlin/org/hyssoprack/daemon/OrderBody.kt
@@ -9,5 +9,5 @@
     val model: String,
     val version: String,
     val adapters: List<String> = emptyList(),
-    val role: String = "mixed",
+    val role: String = "mixed"
 )
--- a/daemon/src/main/kotlin/org/hyssoprack/daemon/PeerRelay.kt
+++ b/daemon/src/main/kotlin/org/hyssoprack/daemon/PeerRelay.kt
@@ -2,8 +2,8 @@
 
 import io.ktor.client.HttpClient
 import io.ktor.client.engine.cio.CIO
-import io.ktor.client.plugins.timeout
 import io.ktor.client.plugins.HttpTimeout
+import io.ktor.client.plugins.timeout
 import io.ktor.client.request.header
 import io.ktor.client.request.prepareRequest
 import io.ktor.client.request.setBody
@@ -32,7 +32,7 @@
 internal class PeerRelay(
     private val service: RequestService,
     private val peers: () -> List<Member>,
-    private val log: EventLog,
+    private val log: EventLog
 ) {
     private val client = HttpClient(CIO) {
         expectSuccess = false
--- a/daemon/src/main/kotlin/org/hyssoprack/daemon/ServiceResponder.kt
+++ b/daemon/src/main/kotlin/org/hyssoprack/daemon/ServiceResponder.kt
@@ -17,7 +17,7 @@
             call.respondBytes(
                 bytes = reply.answer.body,
                 contentType = reply.answer.contentType?.let(ContentType::parse),
-                status = HttpStatusCode.fromValue(reply.answer.status),
+                status = HttpStatusCode.fromValue(reply.answer.status)
             )
         }
     }
--- a/daemon/src/main/kotlin/org/hyssoprack/daemon/SettingsReader.kt
+++ b/daemon/src/main/kotlin/org/hyssoprack/daemon/SettingsReader.kt
@@ -56,7 +56,7 @@
                 operatorKeys = operatorKeys(),
                 addressTtlMs = number("addressTtlMs", default = 3_000, range = 100L..600_000L),
                 maxBodyBytes =
-                number("maxBodyBytes", default = 4L shl 20, range = 1_024L..(64L shl 20)).toInt(),
+                number("maxBodyBytes", default = 4L shl 20, range = 1_024L..(64L shl 20)).toInt()
             )
             (json.keys - KNOWN).forEach { add("$.$it", "unknown field") }
             return settings
@@ -126,7 +126,7 @@
         val KNOWN = setOf(
             "host", "domain", "region", "link", "callers", "operators", "tableService",
             "objectStore", "hostList", "weightStore", "peers", "operatorKeys", "addressTtlMs",
-            "maxBodyBytes",
+            "maxBodyBytes"
         )
     }
 }
--- a/host/src/main/kotlin/org/hyssoprack/host/Admission.kt
+++ b/host/src/main/kotlin/org/hyssoprack/host/Admission.kt
@@ -7,6 +7,7 @@
 import arrow.core.raise.ensure
 import arrow.core.raise.ensureNotNull
 import java.util.concurrent.atomic.AtomicLong
+import org.hyssoprack.backend.CompletionBody
 import org.hyssoprack.backend.PrefixHash
 import org.hyssoprack.common.ClientAccount
 import org.hyssoprack.common.Clock
@@ -71,8 +72,8 @@
             pool = pool.name,
             arrivedAtMs = now,
             deadlineAtMs = now + deadline(call, route),
-            promptTokens = (body?.prompt?.length ?: 0) / CHARS_PER_TOKEN,
-            completionTokens = body?.maxTokens ?: 0,
+            promptTokens = body?.promptTokens ?: 0,
+            completionTokens = body?.let(::tokens) ?: 0,
             prefixHash = body?.let { PrefixHash.of(it.prompt) },
             once = route.once
         )
@@ -104,9 +105,20 @@
         ensure(call.path in COMPLETION_PATHS) {
             Failure(ResultCode.PATH_UNKNOWN, "There is no path ${call.path}.")
         }
-        return CompletionBody.parse(call.body.decodeToString()).bind()
+        val body = ensureNotNull(CompletionBody.parse(call.body.decodeToString())) {
+            Failure(ResultCode.BODY_INVALID, "Send a JSON object with 'prompt' or 'messages'.")
+        }
+        ensure(body.model != null) {
+            Failure(ResultCode.BODY_INVALID, "The field 'model' is missing.")
+        }
+        ensure(tokens(body) in 1..MAX_TOKENS) {
+            Failure(ResultCode.BODY_INVALID, "'max_tokens' is not from 1 to $MAX_TOKENS.")
+        }
+        return body
     }
 
+    private fun tokens(body: CompletionBody): Int = body.maxTokens ?: DEFAULT_MAX_TOKENS
+
     private fun noRoute(facts: RequestFacts): Failure {
         val model = facts.model
         if (model != null) {
@@ -151,7 +163,8 @@
     private companion object {
         const val SERVICES = "/v1/services/"
         const val FIRST_ATTEMPT = "1"
-        const val CHARS_PER_TOKEN = 4
+        const val DEFAULT_MAX_TOKENS = 256
+        const val MAX_TOKENS = 1_000_000
         val COMPLETION_PATHS = setOf("/v1/completions", "/v1/chat/completions")
         val HEADER_TOKEN = Regex("""[!-~]{1,128}""")
     }
--- a/host/src/main/kotlin/org/hyssoprack/host/MemberFollower.kt
+++ b/host/src/main/kotlin/org/hyssoprack/host/MemberFollower.kt
@@ -16,8 +16,7 @@
     private val self: HostRef,
     private val membership: Membership,
     private val owner: OwnerTask,
-    private val bundles: BundleHolder,
-    private val log: EventLog
+    private val bundles: BundleHolder
 ) {
     private val known = HashMap<HostId, Member>()
 
--- a/host/src/test/kotlin/org/hyssoprack/host/FakeEngine.kt
+++ b/host/src/test/kotlin/org/hyssoprack/host/FakeEngine.kt
@@ -41,12 +41,12 @@
 
     override suspend fun cacheEvents(
         server: BackendServer,
-        after: Long,
+        after: Long
     ): Either<Failure, List<CacheEvent>> = unused()
 
     override suspend fun order(
         server: BackendServer,
-        order: EngineOrder,
+        order: EngineOrder
     ): Either<Failure, EngineStatus> = unused()
 
     override suspend fun status(server: BackendServer): Either<Failure, EngineStatus> = unused()
--- a/host/src/test/kotlin/org/hyssoprack/host/RequestRegistryTest.kt
+++ b/host/src/test/kotlin/org/hyssoprack/host/RequestRegistryTest.kt
@@ -20,7 +20,7 @@
         val waits: Boolean = false,
         val before: suspend RequestRegistry.() -> Unit,
         val begins: Boolean,
-        val toPeer: GiveUpResult,
+        val toPeer: GiveUpResult
     )
 
     private val cases = listOf(
@@ -30,38 +30,38 @@
             waits = true,
             before = { begin(id) },
             begins = true,
-            toPeer = GiveUpResult.GIVEN_UP,
+            toPeer = GiveUpResult.GIVEN_UP
         ),
         Case(
             name = "in progress and dispatched",
             before = { begin(id) },
             begins = false,
-            toPeer = GiveUpResult.MAY_HAVE_RUN,
+            toPeer = GiveUpResult.MAY_HAVE_RUN
         ),
         Case(
             name = "ended without dispatch",
             before = { begin(id).onRight { end(it, mayHaveRun = false) } },
             begins = true,
-            toPeer = GiveUpResult.GIVEN_UP,
+            toPeer = GiveUpResult.GIVEN_UP
         ),
         Case(
             name = "ended after dispatch",
             before = { begin(id).onRight { end(it, mayHaveRun = true) } },
             begins = false,
-            toPeer = GiveUpResult.MAY_HAVE_RUN,
+            toPeer = GiveUpResult.MAY_HAVE_RUN
         ),
         Case(
             name = "left to the same peer",
             before = { leaveTo(id, peer) },
             begins = false,
-            toPeer = GiveUpResult.GIVEN_UP,
+            toPeer = GiveUpResult.GIVEN_UP
         ),
         Case(
             name = "left to another peer",
             before = { leaveTo(id, stranger) },
             begins = false,
-            toPeer = GiveUpResult.MAY_HAVE_RUN,
-        ),
+            toPeer = GiveUpResult.MAY_HAVE_RUN
+        )
     )
 
     @Example
--- a/host/src/test/kotlin/org/hyssoprack/host/RetryTaskTest.kt
+++ b/host/src/test/kotlin/org/hyssoprack/host/RetryTaskTest.kt
@@ -22,7 +22,7 @@
         val origin: HostRef,
         val dispatched: Boolean = false,
         val lose: Int = 0,
-        val expected: ResultCode?,
+        val expected: ResultCode?
     )
 
     private val cases = listOf(
@@ -30,9 +30,13 @@
         Case("the first host dispatched it", first, true, expected = UNKNOWN),
         Case("two questions get lost", first, lose = 2, expected = null),
         Case("every question gets lost", first, lose = 99, expected = UNKNOWN),
-        Case("the first host has restarted", HostRef(first.host, Incarnation(9)), expected = UNKNOWN),
+        Case(
+            "the first host has restarted",
+            HostRef(first.host, Incarnation(9)),
+            expected = UNKNOWN
+        ),
         Case("this host has restarted", HostRef(second.host, Incarnation(19)), expected = UNKNOWN),
-        Case("this host is the first", second, expected = null),
+        Case("this host is the first", second, expected = null)
     )
 
     @Example
@@ -46,9 +50,10 @@
         if (case.dispatched) registry.begin(id)
         var lost = 0
         lateinit var there: RetryTask
-        val here = RetryTask(second, registry = RequestRegistry(ManualClock()) { false }) { _, message ->
-            if (lost++ >= case.lose) launch { there.receive(second, message as RetryMessage) }
-        }
+        val here =
+            RetryTask(second, registry = RequestRegistry(ManualClock()) { false }) { _, message ->
+                if (lost++ >= case.lose) launch { there.receive(second, message as RetryMessage) }
+            }
         there = RetryTask(first, registry) { _, message ->
             launch { here.receive(first, message as RetryMessage) }
         }
