--- /dev/null
+++ b/core/policy/src/main/kotlin/org/hyssoprack/policy/DefaultPolicyCompiler.kt
@@ -0,0 +1,56 @@
+package org.hyssoprack.policy
+
+import arrow.core.EitherNel
+import arrow.core.NonEmptyList
+import arrow.core.flatMap
+import arrow.core.left
+import arrow.core.right
+import arrow.core.toNonEmptyListOrNull
+import org.hyssoprack.policy.check.PolicyChecker
+import org.hyssoprack.policy.syntax.Lexer
+import org.hyssoprack.policy.syntax.Parser
+import org.hyssoprack.policy.syntax.PolicyPrinter
+import org.hyssoprack.policy.syntax.PolicyTree
+import org.hyssoprack.policy.syntax.Position
+import org.hyssoprack.policy.syntax.syntaxFault
+
+/**
+ * Compiles the policy language of docs/POLICY.md. The rules are checked once the text has no fault
+ * of form, as half-read statements would break rules that the whole ones keep.
+ */
+class DefaultPolicyCompiler : PolicyCompiler {
+    override fun compile(text: String): EitherNel<PolicyFault, CompiledPolicy> =
+        parse(text).flatMap { tree -> PolicyChecker.check(tree).mapLeft { inOrder(it) } }
+
+    /** [text] in the standard layout, comments included, or the faults of its form. */
+    fun format(text: String): EitherNel<PolicyFault, String> =
+        parse(text).map { PolicyPrinter().print(it) }
+
+    private fun parse(text: String): EitherNel<PolicyFault, PolicyTree> {
+        if (text.length > MAX_TEXT_CHARS) return inOrder(listOf(tooLong(text))).left()
+        val lexer = Lexer(text)
+        val parser = Parser(lexer.tokens())
+        val tree = parser.policy()
+        val faults = lexer.faults + parser.faults
+        return if (faults.isEmpty()) tree.right() else inOrder(faults).left()
+    }
+
+    private fun tooLong(text: String): PolicyFault = syntaxFault(
+        at = Position(line = 1, column = 1),
+        detail = "the text has ${text.length} characters",
+        expected = listOf("at most $MAX_TEXT_CHARS characters")
+    )
+
+    private fun inOrder(faults: List<PolicyFault>): NonEmptyList<PolicyFault> {
+        val sorted = faults.sortedWith(compareBy({ it.line }, { it.column }))
+        return sorted.take(MAX_FAULTS).toNonEmptyListOrNull()!!
+    }
+
+    companion object {
+        /** Longest text that is compiled, in UTF-16 units. */
+        const val MAX_TEXT_CHARS = 4_000_000
+
+        /** Most faults that are reported at once. */
+        const val MAX_FAULTS = 100
+    }
+}
--- /dev/null
+++ b/core/policy/src/main/kotlin/org/hyssoprack/policy/syntax/Parser.kt
@@ -0,0 +1,111 @@
+package org.hyssoprack.policy.syntax
+
+import arrow.core.raise.Raise
+import arrow.core.raise.recover
+import org.hyssoprack.policy.PolicyFault
+
+/**
+ * Builds the tree of a policy from its tokens. After a fault it goes on with the next statement, or
+ * within a block with the next line, so that one run finds the faults of all statements.
+ */
+internal class Parser(tokens: List<Token>) {
+    val faults = mutableListOf<PolicyFault>()
+
+    private val cursor = TokenCursor(tokens)
+    private val poolParser = PoolParser(cursor)
+    private val routeParser = RouteParser(cursor)
+
+    fun policy(): PolicyTree {
+        val statements = mutableListOf<Item<Statement>>()
+        while (!cursor.atEnd()) {
+            val item = recover({ item { statement() } }) { fault ->
+                faults += fault
+                cursor.skipToStatement()
+                null
+            }
+            if (item != null) statements += item
+        }
+        return PolicyTree(statements = statements, tail = cursor.takeComments())
+    }
+
+    private fun Raise<PolicyFault>.statement(): Statement = with(cursor) {
+        when {
+            isWord("tier") -> tier()
+            isWord("account") -> account()
+            isWord("pool") -> pool()
+            isWord("route") -> route()
+            else -> unexpected(STATEMENTS.map { "'$it'" })
+        }
+    }
+
+    private fun Raise<PolicyFault>.tier(): Statement = with(cursor) {
+        word("tier")
+        val name = name("a tier name")
+        word("objective")
+        Statement.Tier(name = name, objective = percent())
+    }
+
+    private fun Raise<PolicyFault>.account(): Statement = with(cursor) {
+        word("account")
+        val name = name("an account name")
+        if (!isWord("share")) return Statement.Account(name = name, share = null)
+        advance()
+        Statement.Account(name = name, share = count("a whole number"))
+    }
+
+    private fun Raise<PolicyFault>.pool(): Statement = with(cursor) {
+        word("pool")
+        val name = name("a pool name")
+        mark("{")
+        val properties = block { with(poolParser) { property() } }
+        val tail = cursor.takeComments()
+        mark("}")
+        Statement.Pool(name = name, properties = properties, tail = tail)
+    }
+
+    private fun Raise<PolicyFault>.route(): Statement = with(cursor) {
+        word("route")
+        val name = name("a route name")
+        mark("{")
+        val clauses = block { with(routeParser) { clause() } }
+        val tail = cursor.takeComments()
+        mark("}")
+        Statement.Route(name = name, clauses = clauses, tail = tail)
+    }
+
+    private fun <T : Any> block(read: Raise<PolicyFault>.() -> T): List<Item<T>> {
+        val items = mutableListOf<Item<T>>()
+        while (!cursor.atEnd() && !cursor.isMark("}")) {
+            val item = recover({ item(read) }) { fault ->
+                faults += fault
+                cursor.skipToLine()
+                null
+            }
+            if (item != null) items += item
+        }
+        return items
+    }
+
+    private fun <T> Raise<PolicyFault>.item(read: Raise<PolicyFault>.() -> T): Item<T> {
+        val before = cursor.takeSkippedComments() + cursor.takeComments()
+        val at = cursor.token.at
+        val value = read()
+        return Item(
+            value = value,
+            at = at,
+            before = before + cursor.takeSkippedComments(),
+            after = cursor.takeCommentAfter()
+        )
+    }
+
+    private fun TokenCursor.skipToStatement() = skipUntil { it.startsLine && it.text in STATEMENTS }
+
+    private fun TokenCursor.skipToLine() {
+        if (token.startsLine && isMark("}")) return
+        skipUntil { it.startsLine || it.text == "}" }
+    }
+
+    private companion object {
+        val STATEMENTS = listOf("tier", "account", "pool", "route")
+    }
+}
