--- /dev/null
+++ b/core/settings/src/main/kotlin/org/hyssoprack/settings/BundleHistory.kt
@@ -0,0 +1,41 @@
+package org.hyssoprack.settings
+
+import arrow.core.Either
+import arrow.core.raise.either
+import org.hyssoprack.common.BundleVersion
+import org.hyssoprack.common.Failure
+import org.hyssoprack.platform.TableService
+import org.hyssoprack.platform.WriteResult
+
+/**
+ * Rows of former accepted bundles. The row of a version is written before the accepted row moves on
+ * from it, so each version stands in the accepted row or here.
+ */
+internal class BundleHistory(private val table: TableService, private val writer: RowWriter) {
+    /** Makes sure that [bundle] has its row. */
+    suspend fun keep(bundle: AcceptedBundle): Either<Failure, Unit> = either {
+        val key = BundleRows.history(bundle.version)
+        when (val result = writer.write(key, 0, BundleRows.encode(bundle)) { true }) {
+            is WriteResult.Refused -> raise(result.failure)
+            is WriteResult.Undecided -> raise(result.failure)
+            is WriteResult.Applied, is WriteResult.Conflict -> Unit
+        }
+    }
+
+    /** The bundle with [version], given the [current] one; null if there is none. */
+    suspend fun version(
+        version: BundleVersion,
+        current: AcceptedBundle?
+    ): Either<Failure, AcceptedBundle?> = either {
+        if (current == null || version > current.version) return@either null
+        if (version == current.version) return@either current
+        table.read(BundleRows.history(version)).bind()?.let { BundleRows.accepted(it) }
+    }
+
+    /** [current] and all versions before it, the newest first. */
+    suspend fun before(current: AcceptedBundle): Either<Failure, List<AcceptedBundle>> = either {
+        val rows = table.scan(BundleRows.HISTORY_TABLE, prefix = "").bind()
+        val former = rows.map { BundleRows.accepted(it) }.filter { it.version < current.version }
+        listOf(current) + former.sortedByDescending { it.version }
+    }
+}
--- a/core/settings/src/main/kotlin/org/hyssoprack/settings/BundleHolder.kt
+++ b/core/settings/src/main/kotlin/org/hyssoprack/settings/BundleHolder.kt
@@ -21,4 +21,11 @@
      * rollout bound: it has lately reached the table service, or most of its peers.
      */
     fun isCurrent(nowMs: Long): Boolean
+
+    /**
+     * The bundle to serve a request under that is taken in at [nowMs], or null if there is none or
+     * the host is not current. [nowMs] must be read for that very request, as a process may have
+     * been paused since any earlier reading.
+     */
+    fun current(nowMs: Long): ActiveBundle? = active.value.takeIf { isCurrent(nowMs) }
 }
--- /dev/null
+++ b/core/settings/src/main/kotlin/org/hyssoprack/settings/BundleRows.kt
@@ -0,0 +1,40 @@
+package org.hyssoprack.settings
+
+import kotlinx.serialization.json.Json
+import org.hyssoprack.common.BundleVersion
+import org.hyssoprack.common.ContentHash
+import org.hyssoprack.platform.Row
+import org.hyssoprack.platform.RowKey
+
+/** Keys and bodies of the rows that bundles use in the table service. */
+object BundleRows {
+    /** The row that names the accepted bundle. */
+    val ACCEPTED = RowKey(table = "bundles", key = "accepted")
+
+    /** Table of bundles that were accepted before the one in [ACCEPTED]. */
+    const val HISTORY_TABLE = "bundle-history"
+
+    private const val VERSION_DIGITS = 12
+    private val json = Json { ignoreUnknownKeys = true }
+
+    /** Row of the proposal with this hash. */
+    fun proposal(hash: ContentHash) = RowKey(table = "bundle-proposals", key = hash.value)
+
+    /** Row that keeps a former version. */
+    fun history(version: BundleVersion) = RowKey(
+        table = HISTORY_TABLE,
+        key = version.value.toString().padStart(VERSION_DIGITS, '0')
+    )
+
+    internal fun encode(bundle: AcceptedBundle): String =
+        json.encodeToString(AcceptedBundle.serializer(), bundle)
+
+    internal fun encode(proposal: Proposal): String =
+        json.encodeToString(Proposal.serializer(), proposal)
+
+    internal fun accepted(row: Row): AcceptedBundle =
+        json.decodeFromString(AcceptedBundle.serializer(), row.value)
+
+    internal fun proposal(row: Row): Proposal =
+        json.decodeFromString(Proposal.serializer(), row.value)
+}
--- /dev/null
+++ b/core/settings/src/main/kotlin/org/hyssoprack/settings/DefaultBundleHolder.kt
@@ -0,0 +1,180 @@
+package org.hyssoprack.settings
+
+import java.security.MessageDigest
+import kotlin.random.Random
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.channels.Channel
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.flow.MutableStateFlow
+import kotlinx.coroutines.flow.StateFlow
+import kotlinx.coroutines.isActive
+import kotlinx.coroutines.launch
+import org.hyssoprack.common.BundleVersion
+import org.hyssoprack.common.Clock
+import org.hyssoprack.common.ContentHash
+import org.hyssoprack.common.EventLog
+import org.hyssoprack.common.HostId
+import org.hyssoprack.common.HostRef
+import org.hyssoprack.common.eq
+import org.hyssoprack.platform.ObjectStore
+import org.hyssoprack.platform.TableService
+
+/**
+ * [BundleHolder] whose state belongs to one task; all else talks to it by messages.
+ *
+ * @param sendToPeer queues a message for a peer without waiting.
+ * @param peers the live peers, without this host.
+ * @param peersReachable share, from 0 to 1, of the known peers that answer probes.
+ */
+class DefaultBundleHolder(
+    private val scope: CoroutineScope,
+    private val table: TableService,
+    private val objects: ObjectStore,
+    private val sendToPeer: (HostId, BundleMessage) -> Unit,
+    private val peers: () -> List<HostId>,
+    private val peersReachable: () -> Double,
+    private val clock: Clock,
+    private val log: EventLog,
+    private val compiler: BundleCompiler = BundleCompiler(),
+    random: Random = Random.Default
+) : BundleHolder {
+    override val active: StateFlow<ActiveBundle?> get() = activeState
+
+    private val activeState = MutableStateFlow<ActiveBundle?>(null)
+    private val events = Channel<RolloutEvent>(Channel.UNLIMITED)
+    private val rollout = Rollout(peers, peersReachable, random)
+    private var body = ""
+
+    @Volatile
+    private var snapshot = HolderSnapshot()
+
+    /** Starts the tasks; they end with the scope. */
+    fun start() {
+        scope.launch { for (event in events) handle(event) }
+        scope.launch {
+            while (isActive) {
+                events.send(RolloutEvent.Tick)
+                delay(TICK_MS)
+            }
+        }
+    }
+
+    /** Looks for a newer version at once; to be called after one was accepted through this host. */
+    fun refresh() = post(RolloutEvent.Refresh)
+
+    override fun peerHas(peer: HostId, version: BundleVersion) {
+        val known = active.value?.version ?: BundleVersion.NONE
+        if (version > known) post(RolloutEvent.PeerHas(peer, version))
+    }
+
+    override fun receive(from: HostRef, message: BundleMessage) =
+        post(RolloutEvent.Message(from.host, message))
+
+    override fun isCurrent(nowMs: Long): Boolean = current(nowMs) != null
+
+    override fun current(nowMs: Long): ActiveBundle? {
+        val seen = snapshot
+        return seen.bundle.takeIf { seen.currency.holds(nowMs) }
+    }
+
+    private fun post(event: RolloutEvent) {
+        events.trySend(event)
+    }
+
+    private fun handle(event: RolloutEvent) {
+        when (event) {
+            is RolloutEvent.Tick -> Unit
+            is RolloutEvent.Refresh -> rollout.refresh()
+            is RolloutEvent.PeerHas -> rollout.peerHas(event.peer, event.version)
+            is RolloutEvent.Message -> message(event.from, event.message)
+            is RolloutEvent.RowRead -> rollout.rowRead(event.startedAtMs, event.row)
+            is RolloutEvent.RowFailed -> rollout.rowFailed(clock.nowMs())
+            is RolloutEvent.BodyRead -> bodyArrived(event.ref, event.json)
+            is RolloutEvent.BodyFailed -> rollout.fetchFailed(clock.nowMs())
+        }
+        rollout.tick(clock.nowMs()).forEach { run(it) }
+        publish()
+    }
+
+    private fun message(from: HostId, message: BundleMessage) {
+        when (message) {
+            is BundleMessage.Ask ->
+                sendToPeer(from, rollout.state(message.sequence, clock.nowMs()))
+
+            is BundleMessage.State -> rollout.stateFrom(from, message)
+
+            is BundleMessage.Fetch -> sendBody(from, message.version)
+
+            is BundleMessage.Body ->
+                bodyArrived(BundleRef(message.version, message.hash), message.json)
+        }
+    }
+
+    private fun sendBody(to: HostId, version: BundleVersion) {
+        val ref = rollout.active ?: return
+        if (ref.version < version) return
+        sendToPeer(to, BundleMessage.Body(ref.version, ref.hash, body))
+    }
+
+    private fun bodyArrived(ref: BundleRef, json: String) {
+        if (!rollout.wants(ref)) return
+        if (sha256(json) != ref.hash) {
+            log.event("bundle-body-corrupt", "version" eq ref.version, "hash" eq ref.hash)
+            return
+        }
+        compiler.activate(ref.version, ref.hash, json).fold(
+            ifLeft = { failure ->
+                rollout.rejected()
+                log.event("bundle-rejected", "version" eq ref.version, "error" eq failure)
+            },
+            ifRight = { adopt(ref, json, it) }
+        )
+    }
+
+    private fun adopt(ref: BundleRef, json: String, bundle: ActiveBundle) {
+        body = json
+        rollout.adopted(ref, clock.nowMs()).forEach { run(it) }
+        activeState.value = bundle
+        publish()
+        log.event("bundle-in-force", "version" eq ref.version, "hash" eq ref.hash)
+    }
+
+    private fun publish() {
+        val before = snapshot
+        if (before.currency === rollout.currency && before.bundle === activeState.value) return
+        snapshot = HolderSnapshot(bundle = activeState.value, currency = rollout.currency)
+    }
+
+    private fun run(action: RolloutAction) {
+        when (action) {
+            is RolloutAction.ReadRow -> scope.launch { post(readRow()) }
+            is RolloutAction.Send -> sendToPeer(action.peer, action.message)
+            is RolloutAction.GetBody -> scope.launch { post(getBody(action)) }
+        }
+    }
+
+    private suspend fun readRow(): RolloutEvent {
+        val startedAtMs = clock.nowMs()
+        return table.read(BundleRows.ACCEPTED).fold(
+            ifLeft = { RolloutEvent.RowFailed },
+            ifRight = { row ->
+                RolloutEvent.RowRead(startedAtMs, row?.let { BundleRows.accepted(it) })
+            }
+        )
+    }
+
+    private suspend fun getBody(action: RolloutAction.GetBody): RolloutEvent {
+        val bytes = objects.get(action.hash).getOrNull() ?: return RolloutEvent.BodyFailed
+        val ref = BundleRef(action.version, action.hash)
+        return RolloutEvent.BodyRead(ref, bytes.decodeToString())
+    }
+
+    private fun sha256(json: String): ContentHash {
+        val digest = MessageDigest.getInstance("SHA-256").digest(json.encodeToByteArray())
+        return ContentHash(digest.joinToString("") { "%02x".format(it) })
+    }
+
+    private companion object {
+        const val TICK_MS = 100L
+    }
+}
--- /dev/null
+++ b/core/settings/src/main/kotlin/org/hyssoprack/settings/RolloutEvent.kt
@@ -0,0 +1,23 @@
+package org.hyssoprack.settings
+
+import org.hyssoprack.common.BundleVersion
+import org.hyssoprack.common.HostId
+
+/** Messages to the task that owns a [Rollout]. */
+internal sealed interface RolloutEvent {
+    data object Tick : RolloutEvent
+
+    data object Refresh : RolloutEvent
+
+    data class PeerHas(val peer: HostId, val version: BundleVersion) : RolloutEvent
+
+    data class Message(val from: HostId, val message: BundleMessage) : RolloutEvent
+
+    data class RowRead(val startedAtMs: Long, val row: AcceptedBundle?) : RolloutEvent
+
+    data object RowFailed : RolloutEvent
+
+    data class BodyRead(val ref: BundleRef, val json: String) : RolloutEvent
+
+    data object BodyFailed : RolloutEvent
+}
