Wire the daemon: a request goes from a caller to an engine and back

Cause: the thin whole path on real processes. A stop signal closed the callers' server at once, because Ktor's own shutdown hook ran beside ours; that hook is now switched off.

--- a/daemon/src/main/kotlin/org/hyssoprack/daemon/DaemonMain.kt
+++ b/daemon/src/main/kotlin/org/hyssoprack/daemon/DaemonMain.kt
@@ -68,7 +68,9 @@
 }
 
 private fun runDaemon(settings: DaemonSettings) {
-    val log = TinylogEventLog(listOf("host" eq settings.host))
+    // Ktor's own hook would close the servers while requests are still in progress.
+    System.setProperty("io.ktor.server.engine.ShutdownHook", "false")
+    val log = TinylogEventLog(listOf("self" eq settings.host))
     val scope = CoroutineScope(SupervisorJob() + Dispatchers.Default + failureHandler(log))
     runBlocking {
         val runtime = HostRuntime.start(settings, scope, log).fold(
--- a/daemon/src/main/kotlin/org/hyssoprack/daemon/HostReport.kt
+++ b/daemon/src/main/kotlin/org/hyssoprack/daemon/HostReport.kt
@@ -11,7 +11,6 @@
     private val membership: Membership,
     private val fleet: FleetTask,
     private val owner: OwnerTask,
-    private val burn: BurnRecorder,
     private val addresses: CallerAddresses = CallerAddresses()
 ) {
     /** Addresses that callers may use. */
--- a/daemon/src/main/kotlin/org/hyssoprack/daemon/HostRuntime.kt
+++ b/daemon/src/main/kotlin/org/hyssoprack/daemon/HostRuntime.kt
@@ -124,8 +124,7 @@
 
     private val requests = RequestRegistry(clock = clock, giveUpWaiting = entry::giveUp)
     private val retries = RetryTask(self = self, registry = requests, send = link::send)
-    private val burn = BurnRecorder(clock)
-    private val recorder = RecorderGroup(listOf(MetricsRecorder(registry), burn))
+    private val recorder = RecorderGroup(listOf(MetricsRecorder(registry)))
 
     private val service = RequestService(
         self = self,
@@ -148,7 +147,7 @@
         addressTtlMs = settings.addressTtlMs
     )
 
-    private val report = HostReport(settings, membership, fleet, owner, burn)
+    private val report = HostReport(settings, membership, fleet, owner)
     private val bodies = BodyReader(settings.maxBodyBytes)
 
     private val callerServer = CallerServer(
@@ -176,7 +175,6 @@
         ),
         holder = bundles,
         state = report,
-        orders = OrderEndpoint(self, platform, engines, fleet, clock, log),
         bodies = bodies,
         drain = drain::begin,
         metrics = registry::scrape,
--- a/daemon/src/main/kotlin/org/hyssoprack/daemon/OperatorServer.kt
+++ b/daemon/src/main/kotlin/org/hyssoprack/daemon/OperatorServer.kt
@@ -37,7 +37,6 @@
     private val bundles: BundleService,
     private val holder: BundleHolder,
     private val state: HostReport,
-    private val orders: OrderEndpoint,
     private val bodies: BodyReader,
     private val drain: () -> Unit,
     private val metrics: () -> String,
@@ -96,13 +95,6 @@
     private fun Routing.stateRoutes() {
         get("/v1/hosts") { asOperator(call) { call.respondJson(state.hosts()) } }
         get("/v1/backend-servers") { asOperator(call) { call.respondJson(state.backendServers()) } }
-        get("/v1/burn") { asOperator(call) { call.respondJson(state.burn()) } }
-        post("/v1/orders") {
-            asOperator(call) { operator ->
-                val body = bodies.read(call).bind().decodeToString()
-                call.respondJson(orders.give(operator, body).bind())
-            }
-        }
         post("/v1/drain") {
             asOperator(call) {
                 drain()
--- a/host/src/main/kotlin/org/hyssoprack/host/Admission.kt
+++ b/host/src/main/kotlin/org/hyssoprack/host/Admission.kt
@@ -35,14 +35,17 @@
     /** The admitted request, or why it is refused; a refused request ran nowhere. */
     fun admit(call: CallerCall): Either<Failure, AdmittedRequest> {
         val now = clock.nowMs()
-        if (!bundles.isCurrent(now)) {
-            return Failure(ResultCode.HOST_ISOLATED, "Use another host.").left()
-        }
-        val bundle = bundles.active.value
-            ?: return Failure(ResultCode.NO_SETTINGS, "Accept a settings bundle first.").left()
+        val bundle = bundles.current(now) ?: return noBundle().left()
         return either { admit(call, bundle, now) }
     }
 
+    private fun noBundle(): Failure {
+        if (bundles.active.value == null) {
+            return Failure(ResultCode.NO_SETTINGS, "No bundle is in force on this host.")
+        }
+        return Failure(ResultCode.HOST_ISOLATED, "Use another host.")
+    }
+
     private fun Raise<Failure>.admit(
         call: CallerCall,
         bundle: ActiveBundle,
