Claim calls that may not be repeated by compare-and-set

Cause: a call of a once route must run at most once over all hosts, also when the table service loses replies or applies writes late. Claim carries the holder and the body hash now, so that its row can be written again without reading it.

Conclusion: only a row seen to be the attempt's own allows dispatch, and stray writes are shut out by a row at the revision that they expect.

--- /dev/null
+++ b/core/claims/src/main/kotlin/org/hyssoprack/claims/ClaimAttempt.kt
@@ -0,0 +1,70 @@
+package org.hyssoprack.claims
+
+import org.hyssoprack.common.Failure
+import org.hyssoprack.common.ResultCode
+import org.hyssoprack.platform.Row
+import org.hyssoprack.platform.TableService
+import org.hyssoprack.platform.WriteResult
+
+/** One attempt to claim a call. Only a row that is seen to be the attempt's own grants it. */
+internal class ClaimAttempt(
+    private val key: ClaimKey,
+    private val own: ClaimRow,
+    private val table: TableService,
+    private val tries: Int
+) {
+    private val rowKey = ClaimRow.keyOf(key)
+
+    /** Revision that the last undecided write expected; null if no write is undecided. */
+    var undecided: Long? = null
+        private set
+
+    suspend fun run(): ClaimResult {
+        var expected = 0L
+        repeat(tries) {
+            val seen = when (val result = write(expected)) {
+                is WriteResult.Applied -> return granted(result.row)
+                is WriteResult.Refused -> return ClaimRead.unavailable(result.failure)
+                is WriteResult.Conflict -> result.current
+                is WriteResult.Undecided -> return readBack(result.failure)
+            }
+            if (seen != null) result(seen)?.let { return it }
+            expected = seen?.revision ?: 0
+        }
+        return ClaimRead.unavailable(
+            Failure(ResultCode.STORE_UNAVAILABLE, "The row kept changing.")
+        )
+    }
+
+    private suspend fun write(expected: Long): WriteResult {
+        undecided = expected
+        val result = table.compareAndSet(rowKey, expected, own.toJson())
+        if (result !is WriteResult.Undecided) undecided = null
+        return result
+    }
+
+    private suspend fun readBack(cause: Failure): ClaimResult {
+        val row = table.read(rowKey).fold({ return ClaimRead.unavailable(it) }, { it })
+            ?: return ClaimRead.unavailable(cause)
+        return result(row) ?: ClaimRead.unavailable(cause)
+    }
+
+    private fun result(row: Row): ClaimResult? {
+        val current = ClaimRow.of(row)
+        if (current?.attempt == own.attempt) return granted(row)
+        return ClaimRead.result(current, own.bodyHash)
+    }
+
+    private fun granted(row: Row): ClaimResult {
+        undecided = null
+        return ClaimResult.Granted(
+            Claim(
+                key = key,
+                attemptId = own.attempt,
+                revision = row.revision,
+                holder = own.holder,
+                bodyHash = own.bodyHash
+            )
+        )
+    }
+}
--- /dev/null
+++ b/core/claims/src/main/kotlin/org/hyssoprack/claims/ClaimState.kt
@@ -0,0 +1,20 @@
+package org.hyssoprack.claims
+
+import kotlinx.serialization.SerialName
+import kotlinx.serialization.Serializable
+
+/** What a claim's row says about its call. */
+@Serializable
+internal enum class ClaimState {
+    /** The attempt may have dispatched the call. */
+    @SerialName("claimed")
+    CLAIMED,
+
+    /** The attempt has not dispatched the call and never will. */
+    @SerialName("not-run")
+    NOT_RUN,
+
+    /** The call has ended; the outcome is recorded. */
+    @SerialName("ended")
+    ENDED
+}
--- /dev/null
+++ b/core/claims/src/main/kotlin/org/hyssoprack/claims/DefaultClaimService.kt
@@ -0,0 +1,94 @@
+package org.hyssoprack.claims
+
+import java.util.UUID
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.NonCancellable
+import kotlinx.coroutines.currentCoroutineContext
+import kotlinx.coroutines.isActive
+import kotlinx.coroutines.withContext
+import org.hyssoprack.common.EventLog
+import org.hyssoprack.common.Failure
+import org.hyssoprack.common.HostRef
+import org.hyssoprack.common.ResultCode
+import org.hyssoprack.common.SilentEventLog
+import org.hyssoprack.platform.RowKey
+import org.hyssoprack.platform.TableService
+import org.hyssoprack.platform.WriteResult
+
+/**
+ * [ClaimService] over the table service. [scope] carries the repairs of rows whose last write is
+ * undecided. A claim that was granted is changed by its own attempt only.
+ */
+class DefaultClaimService(
+    private val table: TableService,
+    scope: CoroutineScope,
+    private val settings: ClaimSettings = ClaimSettings(),
+    log: EventLog = SilentEventLog,
+    private val newAttemptId: () -> String = { UUID.randomUUID().toString() }
+) : ClaimService {
+    private val repairs = RepairTask(
+        scope = scope,
+        repairer = ClaimRepairer(table),
+        settings = settings,
+        log = log
+    )
+
+    /** Number of rows that still have to be repaired. */
+    val pendingRepairs: Int get() = repairs.pending
+
+    override suspend fun claim(key: ClaimKey, bodyHash: String, holder: HostRef): ClaimResult {
+        val own = ClaimRow(
+            attempt = newAttemptId(),
+            holder = holder,
+            bodyHash = bodyHash,
+            state = ClaimState.CLAIMED
+        )
+        val attempt = ClaimAttempt(key = key, own = own, table = table, tries = settings.claimTries)
+        val result = withContext(NonCancellable) { attempt.run() }
+        attempt.undecided?.let { markNotRun(ClaimRow.keyOf(key), own, expected = it) }
+        if (result is ClaimResult.Granted && !currentCoroutineContext().isActive) {
+            markNotRun(ClaimRow.keyOf(key), own, expected = result.claim.revision)
+            return ClaimRead.unavailable(Failure(ResultCode.CALLER_LEFT, "The caller left."))
+        }
+        return result
+    }
+
+    override suspend fun recorded(key: ClaimKey, bodyHash: String): ClaimResult? {
+        val row = table.read(ClaimRow.keyOf(key))
+            .fold({ return ClaimRead.unavailable(it) }, { it })
+            ?: return null
+        return ClaimRead.result(ClaimRow.of(row), bodyHash)
+    }
+
+    override suspend fun record(claim: Claim, outcome: RecordedOutcome) {
+        val ended = rowOf(claim).copy(state = ClaimState.ENDED, outcome = outcome)
+        if (isWritten(claim, ended)) return
+        repairs.add(ClaimRepair.Ended(rowKey = ClaimRow.keyOf(claim.key), target = ended))
+    }
+
+    override suspend fun release(claim: Claim) {
+        val notRun = rowOf(claim).copy(state = ClaimState.NOT_RUN)
+        if (isWritten(claim, notRun)) return
+        markNotRun(ClaimRow.keyOf(claim.key), notRun, expected = claim.revision)
+    }
+
+    private fun markNotRun(rowKey: RowKey, row: ClaimRow, expected: Long) {
+        val target = row.copy(state = ClaimState.NOT_RUN)
+        repairs.add(ClaimRepair.NotRun(rowKey = rowKey, target = target, expected = expected))
+    }
+
+    private suspend fun isWritten(claim: Claim, row: ClaimRow): Boolean {
+        val rowKey = ClaimRow.keyOf(claim.key)
+        val result = withContext(NonCancellable) {
+            table.compareAndSet(rowKey, expected = claim.revision, value = row.toJson())
+        }
+        return result is WriteResult.Applied
+    }
+
+    private fun rowOf(claim: Claim) = ClaimRow(
+        attempt = claim.attemptId,
+        holder = claim.holder,
+        bodyHash = claim.bodyHash,
+        state = ClaimState.CLAIMED
+    )
+}
