--- /dev/null
+++ b/core/burn/src/main/kotlin/org/hyssoprack/burn/TextTable.kt
@@ -0,0 +1,20 @@
+package org.hyssoprack.burn
+
+/** A table of plain text with columns of even width. */
+class TextTable(private val head: List<String>, private val rows: List<List<String>>) {
+    /** The table, with a line end after each row. */
+    fun text(): String {
+        val all = listOf(head) + rows
+        val widths = head.indices.map { column -> all.maxOf { it[column].length } }
+        return all.joinToString("") { row -> line(row, widths) + "\n" }
+    }
+
+    private fun line(row: List<String>, widths: List<Int>): String = row
+        .mapIndexed { column, cell -> cell.padEnd(widths[column]) }
+        .joinToString(GAP)
+        .trimEnd()
+
+    private companion object {
+        const val GAP = "  "
+    }
+}
