--- /dev/null
+++ b/core/membership/src/test/kotlin/org/hyssoprack/membership/CallerAddressesTest.kt
@@ -0,0 +1,72 @@
+package org.hyssoprack.membership
+
+import assertk.assertThat
+import assertk.assertions.containsExactlyInAnyOrder
+import assertk.assertions.hasSize
+import assertk.assertions.isEmpty
+import assertk.assertions.isEqualTo
+import kotlin.random.Random
+import net.jqwik.api.Example
+import org.hyssoprack.common.FailureDomain
+import org.hyssoprack.common.Region
+
+class CallerAddressesTest {
+    private val near = FailureDomain("d0")
+    private val region = Region("r")
+    private val members = (0 until 1_200).map { MemberNetwork.member(it) }
+
+    private class Case(val name: String, val members: List<Member>, val expected: List<Int>)
+
+    private val cases = listOf(
+        Case("near before far", pick(1, 0, 2, 3), listOf(0, 3, 1, 2)),
+        Case("lightly loaded first", listOf(loaded(0, 90), loaded(3, 10)), listOf(3, 0)),
+        Case("small differences of load do not matter in rank", listOf(loaded(0, 10)), listOf(0)),
+        Case("leaving ones are left out", pick(0) + state(3, MemberState.LEAVING), listOf(0)),
+        Case("suspected ones are left out", pick(0) + state(3, MemberState.SUSPECT), listOf(0)),
+        Case("dead ones are left out", pick(0) + state(3, MemberState.DEAD), listOf(0)),
+        Case("none", emptyList(), emptyList())
+    )
+
+    @Example
+    fun `addresses are chosen by nearness, load and state`() {
+        for (case in cases) {
+            val chosen = choose(case.members).map { MemberNetwork.indexOf(it.ref.host) }
+            val far = case.expected.filter { it % 3 != 0 }
+            assertThat(
+                chosen - far.toSet(),
+                name = case.name
+            ).isEqualTo(case.expected - far.toSet())
+            assertThat(chosen.takeLast(far.size), name = case.name)
+                .containsExactlyInAnyOrder(*far.toTypedArray())
+        }
+    }
+
+    @Example
+    fun `a long list is cut and keeps some addresses of other failure domains`() {
+        val chosen = choose(members)
+        assertThat(chosen).hasSize(12)
+        val far = chosen.filter { MemberNetwork.indexOf(it.ref.host) % 3 != 0 }
+        assertThat(far).hasSize(4)
+    }
+
+    @Example
+    fun `callers are spread over the hosts`() {
+        val addresses = CallerAddresses(random = Random(1))
+        val view = view(members)
+        val used = (0 until 400).flatMap { addresses.choose(view, near, region) }.toSet()
+        val unused = members.filter { it.domain == near && used.none { u -> u.ref == it.ref } }
+        assertThat(unused).isEmpty()
+    }
+
+    private fun choose(members: List<Member>) =
+        CallerAddresses(random = Random(1)).choose(view(members), near, region)
+
+    private fun pick(vararg indexes: Int) = indexes.map { MemberNetwork.member(it) }
+
+    private fun loaded(index: Int, load: Int) = MemberNetwork.member(index).copy(load = load)
+
+    private fun state(index: Int, state: MemberState) =
+        MemberNetwork.member(index).copy(state = state)
+
+    private fun view(members: List<Member>) = MemberView(members.associateBy { it.ref.host })
+}
--- a/link/tcp/src/main/kotlin/org/hyssoprack/link/tcp/ConnectionOpener.kt
+++ b/link/tcp/src/main/kotlin/org/hyssoprack/link/tcp/ConnectionOpener.kt
@@ -1,16 +1,21 @@
 package org.hyssoprack.link.tcp
 
 import arrow.core.Either
+import arrow.core.left
+import arrow.core.right
 import io.ktor.network.selector.SelectorManager
 import io.ktor.network.sockets.Socket
 import io.ktor.network.sockets.aSocket
 import kotlinx.coroutines.CancellationException
-import kotlinx.coroutines.withTimeoutOrNull
+import kotlinx.coroutines.TimeoutCancellationException
+import kotlinx.coroutines.withTimeout
 import org.hyssoprack.common.Clock
 import org.hyssoprack.common.EventLog
+import org.hyssoprack.common.Failure
 import org.hyssoprack.common.HostId
 import org.hyssoprack.common.HostRef
 import org.hyssoprack.common.NetworkAddress
+import org.hyssoprack.common.ResultCode
 import org.hyssoprack.common.eq
 import org.hyssoprack.link.ReceivedMessage
 
@@ -28,42 +33,43 @@
 ) {
     private val incarnations = IncarnationRegister(self)
 
-    /** Connects to [target]; null if it does not answer in time or is refused. */
-    suspend fun dial(target: NetworkAddress): Connection? {
+    /** Connects to [target]. Fails with HOST_UNREACHABLE, also if either side refuses. */
+    suspend fun dial(target: NetworkAddress): Either<Failure, Connection> {
         counters.dials.increment()
         return bounded(target.toString()) {
             val socket = aSocket(selector).tcp().connect(target.ip, target.port) { noDelay = true }
             greet(socket = socket, accepted = false)
         }
+            .onLeft { log.event("link-unreachable", "address" eq target, "failure" eq it) }
     }
 
-    /** Greets a peer that connected to this host; null if it is refused. */
-    suspend fun accept(socket: Socket): Connection? {
-        val connection = bounded(socket.remoteAddress.toString()) { greet(socket, accepted = true) }
-        if (connection == null) socket.close()
-        return connection
-    }
+    /** Greets a peer that connected to this host. Fails with HOST_UNREACHABLE if it is refused. */
+    suspend fun accept(socket: Socket): Either<Failure, Connection> =
+        bounded(socket.remoteAddress.toString()) { greet(socket = socket, accepted = true) }
 
-    private suspend fun bounded(from: String, open: suspend () -> Connection?): Connection? = try {
-        withTimeoutOrNull(settings.connectTimeoutMs) { open() }
+    private suspend fun bounded(
+        from: String,
+        open: suspend () -> Either<Failure, Connection>
+    ): Either<Failure, Connection> = try {
+        withTimeout(settings.connectTimeoutMs) { open() }
+    } catch (e: TimeoutCancellationException) {
+        unreachable("$from: no hello in time").left()
     } catch (e: CancellationException) {
         throw e
     } catch (e: Exception) {
-        log.event("link-unreachable", "address" eq from, "error" eq e.message)
-        null
+        unreachable("$from: ${e.message}").left()
     }
 
-    private suspend fun greet(socket: Socket, accepted: Boolean): Connection? {
+    private suspend fun greet(socket: Socket, accepted: Boolean): Either<Failure, Connection> {
         val frames = FrameSocket(socket, codec, counters, settings.maxFrameBytes)
-        var connection: Connection? = null
+        var connection: Either<Failure, Connection>? = null
         try {
             if (!accepted) introduce(frames)
-            val hello = readHello(frames) ?: return null
-            if (accepted) introduce(frames)
-            connection = connection(frames, hello, accepted)
+            connection = readHello(frames).onRight { if (accepted) introduce(frames) }
+                .map { connection(frames, it, accepted) }
             return connection
         } finally {
-            if (connection == null) frames.close()
+            if (connection?.isRight() != true) frames.close()
         }
     }
 
@@ -73,21 +79,25 @@
         frames.flush()
     }
 
-    private suspend fun readHello(frames: FrameSocket): Hello? {
-        val frame = frames.read()
-        val hello = (frame as? Either.Right)?.value as? Frame.Greeting
-        val fault = hello?.let { faultOf(it.hello) } ?: "no-hello".takeIf { hello == null }
-        if (fault == null) return hello?.hello
+    private suspend fun readHello(frames: FrameSocket): Either<Failure, Hello> {
+        val greeting = frames.read().getOrNull() as? Frame.Greeting
+        val hello = greeting?.hello
+        val fault = faultOf(hello)
+        if (hello != null && fault == null) return hello.right()
         counters.refusals.increment()
-        log.event("link-hello-refused", "peer" eq hello?.hello?.ref, "fault" eq fault)
-        return null
+        log.event("link-hello-refused", "peer" eq hello?.ref, "fault" eq fault)
+        return unreachable("hello of ${hello?.ref} refused: $fault").left()
     }
 
-    private fun faultOf(hello: Hello): String? {
-        if (hello.version != Hello.WIRE_VERSION) return "wire-version"
-        return if (incarnations.admit(hello.ref)) null else "older-incarnation"
+    private fun faultOf(hello: Hello?): String? = when {
+        hello == null -> "no-hello"
+        hello.version != Hello.WIRE_VERSION -> "wire-version"
+        !incarnations.admit(hello.ref) -> "older-incarnation"
+        else -> null
     }
 
+    private fun unreachable(detail: String): Failure = Failure(ResultCode.HOST_UNREACHABLE, detail)
+
     private fun connection(frames: FrameSocket, hello: Hello, accepted: Boolean): Connection {
         val dialer: HostId = if (accepted) hello.ref.host else self.host
         return Connection(
--- a/link/tcp/src/main/kotlin/org/hyssoprack/link/tcp/Peer.kt
+++ b/link/tcp/src/main/kotlin/org/hyssoprack/link/tcp/Peer.kt
@@ -1,12 +1,21 @@
 package org.hyssoprack.link.tcp
 
+import arrow.core.Either
+import arrow.core.flatMap
+import arrow.core.left
+import arrow.core.right
+import arrow.resilience.Schedule
+import arrow.resilience.retryEither
+import kotlin.time.Duration.Companion.milliseconds
 import kotlinx.coroutines.channels.BufferOverflow
 import kotlinx.coroutines.channels.Channel
 import kotlinx.coroutines.selects.select
 import org.hyssoprack.common.Clock
+import org.hyssoprack.common.Failure
 import org.hyssoprack.common.HostId
 import org.hyssoprack.common.HostMessage
 import org.hyssoprack.common.NetworkAddress
+import org.hyssoprack.common.ResultCode
 
 /**
  * Task that sends the messages for one host over the best of its connections, and opens one when
@@ -19,7 +28,7 @@
     private val settings: LinkSettings,
     private val clock: Clock,
     private val counters: LinkCounters,
-    private val dial: suspend (NetworkAddress) -> Connection?
+    private val dial: suspend (NetworkAddress) -> Either<Failure, Connection>
 ) {
     private val outgoing = Channel<HostMessage>(
         capacity = settings.queueLength,
@@ -85,18 +94,33 @@
     private suspend fun connect(): Connection? {
         val target = address ?: return null
         if (clock.nowMs() < refusedUntilMs) return null
-        val connection = dial(target)?.takeIf { host == null || it.peer.host == host }
-        if (connection == null) refusedUntilMs = clock.nowMs() + RETRY_DELAY_MS
-        connection?.let { adopt(it) }
+        RETRIES.retryEither { dialHost(target) }
+            .onRight { adopt(it) }
+            .onLeft { refusedUntilMs = clock.nowMs() + RETRY_DELAY_MS }
         return best()
     }
 
+    private suspend fun dialHost(target: NetworkAddress): Either<Failure, Connection> =
+        dial(target).flatMap {
+            val isExpected = host == null || it.peer.host == host
+            if (isExpected) it.right() else replaced(target).left()
+        }
+
+    private fun replaced(target: NetworkAddress): Failure =
+        Failure(ResultCode.HOST_UNREACHABLE, "another host is at $target")
+
     private fun drop() {
         counters.drops.increment()
         while (outgoing.tryReceive().isSuccess) counters.drops.increment()
     }
 
     private companion object {
-        const val RETRY_DELAY_MS = 250L
+        const val RETRY_DELAY_MS = 500L
+        const val FIRST_BACKOFF_MS = 50
+        const val RETRY_COUNT = 2L
+
+        val RETRIES = Schedule.exponential<Failure>(FIRST_BACKOFF_MS.milliseconds)
+            .jittered()
+            .and(Schedule.recurs(RETRY_COUNT))
     }
 }
--- a/link/tcp/src/main/kotlin/org/hyssoprack/link/tcp/TcpLink.kt
+++ b/link/tcp/src/main/kotlin/org/hyssoprack/link/tcp/TcpLink.kt
@@ -114,7 +114,7 @@
         }
 
     private fun startPeer(host: HostId?): Peer {
-        val peer = Peer(host, settings, clock, counters) { opener.dial(it)?.also(::start) }
+        val peer = Peer(host, settings, clock, counters) { opener.dial(it).onRight(::start) }
         scope.launch { peer.run() }
         return peer
     }
@@ -135,7 +135,7 @@
         scope.launch {
             while (true) {
                 val socket = nextSocket() ?: continue
-                scope.launch { opener.accept(socket)?.also(::start) }
+                scope.launch { opener.accept(socket).onRight(::start) }
             }
         }
     }
--- /dev/null
+++ b/link/tcp/src/test/kotlin/org/hyssoprack/link/tcp/RawPeer.kt
@@ -0,0 +1,70 @@
+package org.hyssoprack.link.tcp
+
+import java.io.DataInputStream
+import java.io.DataOutputStream
+import java.net.ServerSocket
+import java.net.Socket
+import org.hyssoprack.common.HostId
+import org.hyssoprack.common.HostRef
+import org.hyssoprack.common.Incarnation
+import org.hyssoprack.common.NetworkAddress
+
+/** The other side of a link, by hand, on plain sockets. */
+internal class RawPeer(private val socket: Socket) : AutoCloseable {
+    private val codec = FrameCodec(messages = notes, maxFrameBytes = MAX_FRAME_BYTES)
+    private val input = DataInputStream(socket.getInputStream())
+    private val output = DataOutputStream(socket.getOutputStream())
+
+    fun greet(
+        host: String,
+        incarnation: Long,
+        address: NetworkAddress = ADDRESS,
+        version: Int = 1
+    ) {
+        val ref = HostRef(HostId(host), Incarnation(incarnation))
+        write(Frame.Greeting(Hello(version = version, ref = ref, address = address)))
+    }
+
+    fun write(frame: Frame) = writeBytes(codec.encode(frame).getOrNull() ?: error("not encoded"))
+
+    fun writeBytes(bytes: ByteArray) {
+        output.writeInt(bytes.size)
+        output.write(bytes)
+    }
+
+    fun writeLength(length: Int) = output.writeInt(length)
+
+    /** The next frame; null once the other side has closed. */
+    fun read(): Frame? = try {
+        val bytes = ByteArray(input.readInt())
+        input.readFully(bytes)
+        codec.decode(bytes).getOrNull()
+    } catch (e: java.io.IOException) {
+        null
+    }
+
+    fun readNote(): Note? {
+        while (true) {
+            val frame = read() ?: return null
+            if (frame is Frame.Payload) return frame.message as Note
+        }
+    }
+
+    fun readToEnd() {
+        while (read() != null) Unit
+    }
+
+    override fun close() = socket.close()
+
+    companion object {
+        private const val MAX_FRAME_BYTES = 1_000_000
+        private const val READ_TIMEOUT_MS = 10_000
+        private val ADDRESS = NetworkAddress("127.0.0.1", 1)
+
+        fun connect(address: NetworkAddress): RawPeer =
+            RawPeer(Socket(address.ip, address.port).apply { soTimeout = READ_TIMEOUT_MS })
+
+        fun accept(server: ServerSocket): RawPeer =
+            RawPeer(server.accept().apply { soTimeout = READ_TIMEOUT_MS })
+    }
+}
