Make room by question and answer, and play random histories

A waiting request would have been urgent with several owners at once, and each would have preempted one request for it. Shed checks now tell how many slots lower tiers hold on a server; the entry host sends one urgent ask for each slot that it needs. Checks name the tier and not a request, whose end made verdicts useless. Idle slots that lower tiers keep are recalled by a check. Only binding checks keep owners from lending to lower tiers.

Before: a verdict that named an ended request, and an idle slot that a lower tier kept, ended requests as host-unreachable without any fault.

--- a/core/scheduling/src/main/kotlin/org/hyssoprack/scheduling/Asking.kt
+++ b/core/scheduling/src/main/kotlin/org/hyssoprack/scheduling/Asking.kt
@@ -1,7 +1,5 @@
 package org.hyssoprack.scheduling
 
-import org.hyssoprack.common.BackendServerId
-
 /** Registers waiting requests with owners: first the best servers, then more and more of them. */
 internal class Asking(private val state: EntryState) {
     private val settings = state.settings
@@ -20,7 +18,7 @@
     }
 
     fun withdraw(entry: EntryRequest) {
-        entry.asked.keys.forEach { state.sendToOwner(it, SlotMessage.Withdraw(it, entry.id)) }
+        entry.asked.forEach { state.sendToOwner(it, SlotMessage.Withdraw(it, entry.id)) }
         entry.asked.clear()
     }
 
@@ -40,7 +38,7 @@
         if (ranked.isEmpty()) return
         entry.latestDispatchAtMs = state.latestDispatch(nowMs, entry, ranked.first())
         val chosen = ranked.take(entry.width)
-        val known = entry.asked.keys.mapNotNull { state.servers.find(it) }.filter { !it.leaving }
+        val known = entry.asked.mapNotNull { state.servers.find(it) }.filter { !it.leaving }
         askServers(nowMs, entry, (chosen + known).distinct())
     }
 
@@ -50,45 +48,39 @@
         entry.widenAtMs = if (done) Long.MAX_VALUE else nowMs + settings.wideningDelayMs
     }
 
+    /** Asks [server] to preempt a lower tier for [entry]. */
+    fun askUrgently(nowMs: Long, entry: EntryRequest, server: FleetServer) {
+        entry.urgentServer = server.id
+        entry.urgentUntilMs = nowMs + settings.askRepeatMs
+        askOne(nowMs, entry, server)
+    }
+
     private fun askServers(nowMs: Long, entry: EntryRequest, servers: List<FleetServer>) {
         entry.nextAskMs = nowMs + settings.askRepeatMs
-        val urgent = urgentServer(nowMs, entry, servers)
-        servers.forEach {
-            val ask = message(nowMs, entry, it, it.id == urgent)
-            entry.asked[it.id] = nowMs
-            state.send(it.owner, ask)
-        }
+        servers.forEach { askOne(nowMs, entry, it) }
     }
 
-    /** The one server on which a lower tier shall make room now, or null. */
-    private fun urgentServer(
-        nowMs: Long,
-        entry: EntryRequest,
-        servers: List<FleetServer>
-    ): BackendServerId? {
-        val pool = state.servers.pool(entry.request.pool) ?: return null
-        if (servers.isEmpty() || !isUrgent(nowMs, entry, pool.preemptAfterMs)) return null
-        return servers[entry.urgentTurn++ % servers.size].id
+    private fun askOne(nowMs: Long, entry: EntryRequest, server: FleetServer) {
+        entry.asked.add(server.id)
+        state.send(server.owner, message(nowMs, entry, server))
     }
 
-    private fun isUrgent(nowMs: Long, entry: EntryRequest, preemptAfterMs: Long): Boolean =
-        entry.shedCause != null || nowMs - entry.waitingSinceMs >= preemptAfterMs
+    private fun isUrgent(nowMs: Long, entry: EntryRequest, server: FleetServer): Boolean {
+        if (entry.phase == RequestPhase.SUSPENDED) return true
+        return entry.urgentServer == server.id && nowMs < entry.urgentUntilMs
+    }
 
-    private fun message(
-        nowMs: Long,
-        entry: EntryRequest,
-        server: FleetServer,
-        urgent: Boolean
-    ): SlotMessage.Ask = SlotMessage.Ask(
-        server = server.id,
-        requestId = entry.id,
-        tier = entry.request.tier,
-        account = entry.request.account,
-        share = entry.request.share,
-        slackMs = entry.latestDispatchAtMs - nowMs,
-        long = entry.kind.long,
-        sentAtMs = nowMs,
-        urgent = urgent,
-        resuming = if (entry.phase == RequestPhase.SUSPENDED) entry.lastLease else null
-    )
+    private fun message(nowMs: Long, entry: EntryRequest, server: FleetServer): SlotMessage.Ask =
+        SlotMessage.Ask(
+            server = server.id,
+            requestId = entry.id,
+            tier = entry.request.tier,
+            account = entry.request.account,
+            share = entry.request.share,
+            slackMs = entry.latestDispatchAtMs - nowMs,
+            long = entry.kind.long,
+            sentAtMs = nowMs,
+            urgent = isUrgent(nowMs, entry, server),
+            resuming = if (entry.phase == RequestPhase.SUSPENDED) entry.lastLease else null
+        )
 }
--- a/core/scheduling/src/main/kotlin/org/hyssoprack/scheduling/DefaultEntryScheduler.kt
+++ b/core/scheduling/src/main/kotlin/org/hyssoprack/scheduling/DefaultEntryScheduler.kt
@@ -59,7 +59,6 @@
         if (entry.phase != RequestPhase.RUNNING) return emptyList()
         entry.phase = RequestPhase.SUSPENDED
         entry.preempting = false
-        entry.waitingSinceMs = nowMs
         slots.release(nowMs, entry)
         asking.askToResume(nowMs, entry)
         return state.takeOutputs()
--- a/core/scheduling/src/main/kotlin/org/hyssoprack/scheduling/EntryRequest.kt
+++ b/core/scheduling/src/main/kotlin/org/hyssoprack/scheduling/EntryRequest.kt
@@ -6,17 +6,17 @@
 /**
  * A request in progress on its entry host.
  *
- * @property asked when each server's owner was asked last.
+ * @property asked servers with whose owners the request is registered.
  * @property shedCause why the request shall be shed as soon as that is allowed; null while it waits.
  */
 internal class EntryRequest(val request: WaitingRequest, val kind: SlotKind) {
     var phase = RequestPhase.WAITING
-    val asked = LinkedHashMap<BackendServerId, Long>()
+    val asked = LinkedHashSet<BackendServerId>()
     var nextAskMs = 0L
     var width = 0
     var widenAtMs = 0L
-    var urgentTurn = 0
-    var waitingSinceMs = request.arrivedAtMs
+    var urgentServer: BackendServerId? = null
+    var urgentUntilMs = 0L
     var latestDispatchAtMs = request.deadlineAtMs
     var shedCause: ResultCode? = null
     var shedSinceMs = 0L
--- a/core/scheduling/src/main/kotlin/org/hyssoprack/scheduling/EntrySlots.kt
+++ b/core/scheduling/src/main/kotlin/org/hyssoprack/scheduling/EntrySlots.kt
@@ -87,7 +87,7 @@
     }
 
     private fun withdrawElsewhere(entry: EntryRequest, lease: EntryLease) {
-        entry.asked.keys.filter { it != lease.server }.forEach {
+        entry.asked.filter { it != lease.server }.forEach {
             state.sendToOwner(it, SlotMessage.Withdraw(it, entry.id))
         }
         entry.asked.clear()
--- a/core/scheduling/src/main/kotlin/org/hyssoprack/scheduling/EntryState.kt
+++ b/core/scheduling/src/main/kotlin/org/hyssoprack/scheduling/EntryState.kt
@@ -61,9 +61,22 @@
         speeds.measured(nowMs, server, report)
     }
 
+    /** Estimated time after which a request like [entry] would find a slot. */
+    fun retryAfterMs(entry: EntryRequest): Long {
+        val slots = servers.ofPool(entry.request.pool).sumOf { it.slots }.coerceAtLeast(1)
+        val waiting = requests.waitingBeside(entry.kind)
+        val slotMs = speeds.meanHoldMs(entry.kind)
+        return (slotMs * waiting / slots).toLong().coerceIn(RETRY_MIN_MS, RETRY_MAX_MS)
+    }
+
     /** Ends a request that was not dispatched. */
     fun reject(entry: EntryRequest, failure: Failure) {
         requests.drop(entry)
         outputs.add(EntryOutput.Reject(entry.id, failure))
     }
+
+    private companion object {
+        const val RETRY_MIN_MS = 500L
+        const val RETRY_MAX_MS = 30_000L
+    }
 }
--- a/core/scheduling/src/main/kotlin/org/hyssoprack/scheduling/RequestTable.kt
+++ b/core/scheduling/src/main/kotlin/org/hyssoprack/scheduling/RequestTable.kt
@@ -23,6 +23,8 @@
 
     fun waiting(): List<EntryRequest> = waiting.values.flatMap { it.values }
 
+    fun waiting(kind: SlotKind): List<EntryRequest> = waiting[kind]?.values?.toList().orEmpty()
+
     fun suspended(): List<EntryRequest> =
         running.values.filter { it.phase == RequestPhase.SUSPENDED }
 
--- a/core/scheduling/src/main/kotlin/org/hyssoprack/scheduling/SchedulingSettings.kt
+++ b/core/scheduling/src/main/kotlin/org/hyssoprack/scheduling/SchedulingSettings.kt
@@ -25,7 +25,7 @@
     val renewIntervalMs: Long = 500,
     val askRepeatMs: Long = 250,
     val registrationTermMs: Long = 1_000,
-    val verdictTermMs: Long = 400,
+    val verdictTermMs: Long = 600,
     val messageRepeatMs: Long = 250,
     val preemptTries: Int = 8,
     val firstOwners: Int = 2,
--- a/core/scheduling/src/main/kotlin/org/hyssoprack/scheduling/ServerSpeeds.kt
+++ b/core/scheduling/src/main/kotlin/org/hyssoprack/scheduling/ServerSpeeds.kt
@@ -12,6 +12,8 @@
 
     fun measured(nowMs: Long, server: FleetServer, report: FinishReport) = Unit
 
+    fun meanHoldMs(kind: SlotKind): Double = 1_000.0
+
     fun takeSample(server: BackendServerId): ServerSample? = null
 
     fun retain(servers: Set<BackendServerId>) {
--- a/core/scheduling/src/main/kotlin/org/hyssoprack/scheduling/Shedding.kt
+++ b/core/scheduling/src/main/kotlin/org/hyssoprack/scheduling/Shedding.kt
@@ -4,67 +4,87 @@
 import org.hyssoprack.common.ResultCode
 
 /**
- * Ends waiting requests that get no slot in time. A request is shed only while every owner of its
- * pool vouches that no lower tier holds a slot that the request could use.
+ * Makes room for requests that wait for too long, and ends those that get no slot in time. A request
+ * is shed only while every owner of its pool vouches that no lower tier holds a slot that the request
+ * could use.
  */
 internal class Shedding(private val state: EntryState, private val asking: Asking) {
     private val settings = state.settings
-    private val rounds = HashMap<SlotKind, ShedRound>()
+    private val rounds = ShedRounds(settings)
 
     /** Decides to shed [entry] for [cause] as soon as that is allowed. */
     fun begin(nowMs: Long, entry: EntryRequest, cause: ResultCode) {
         if (entry.shedCause != null) return
         entry.shedCause = cause
         entry.shedSinceMs = nowMs
-        check(nowMs, entry)
+        check(nowMs, entry.kind, binding = true)
+        shedIfAllowed(nowMs, entry)
     }
 
-    fun receive(nowMs: Long, message: SlotMessage.ShedVerdict) {
-        val request = state.requests.find(message.requestId)
-        val round = request?.let { rounds[it.kind] } ?: return
-        round.receive(message)
-        state.requests.waiting().filter {
-            it.kind == request.kind
-        }.forEach { shedIfAllowed(nowMs, it) }
+    fun receive(nowMs: Long, verdict: SlotMessage.ShedVerdict) {
+        val server = state.servers.find(verdict.server) ?: return
+        val kind = SlotKind(server.pool, verdict.tier, verdict.long)
+        rounds.receive(kind, verdict)
+        val waiting = state.requests.waiting(kind)
+        waiting.forEach { shedIfAllowed(nowMs, it) }
+        if (verdict.lowerTierSlots == 0 || server.leaving) return
+        val expecting = waiting.count { it.urgentServer == server.id && nowMs < it.urgentUntilMs }
+        waiting.filter { isUrgent(nowMs, it) && nowMs >= it.urgentUntilMs }
+            .take((verdict.lowerTierSlots - expecting).coerceAtLeast(0))
+            .forEach { asking.askUrgently(nowMs, it, server) }
     }
 
     fun tick(nowMs: Long) {
-        for (entry in state.requests.waiting()) {
-            if (nowMs >= entry.latestDispatchAtMs - settings.shedLeadMs) check(nowMs, entry)
-            if (nowMs >= entry.latestDispatchAtMs) {
-                begin(nowMs, entry, ResultCode.DEADLINE_UNREACHABLE)
-            }
-            shedIfAllowed(nowMs, entry)
-        }
+        state.requests.kinds.toList().forEach { tickKind(nowMs, it) }
         state.requests.suspended().filter { nowMs >= it.request.deadlineAtMs }.forEach {
             cancelSuspended(it)
         }
-        rounds.keys.retainAll(state.requests.kinds)
+        rounds.retain(state.requests.kinds)
+    }
+
+    private fun tickKind(nowMs: Long, kind: SlotKind) {
+        val waiting = state.requests.waiting(kind)
+        val mayShedSoon = waiting.any {
+            it.shedCause != null || nowMs >= it.latestDispatchAtMs - settings.shedLeadMs
+        }
+        if (mayShedSoon || waiting.any { isUrgent(nowMs, it) }) check(nowMs, kind, mayShedSoon)
+        waiting.forEach {
+            if (nowMs >= it.latestDispatchAtMs) begin(nowMs, it, ResultCode.DEADLINE_UNREACHABLE)
+            shedIfAllowed(nowMs, it)
+        }
     }
 
-    private fun check(nowMs: Long, entry: EntryRequest) {
-        if (state.servers.isLowest(entry.request.tier)) return
-        val round = rounds.getOrPut(entry.kind) { ShedRound(entry.kind, settings) }
-        val servers = state.servers.ofPool(entry.request.pool)
-        round.checks(nowMs, servers, entry.id).forEach { state.add(it) }
+    private fun isUrgent(nowMs: Long, entry: EntryRequest): Boolean {
+        if (nowMs >= entry.request.deadlineAtMs) return false
+        if (entry.shedCause != null) return true
+        val pool = state.servers.pool(entry.request.pool) ?: return false
+        val isLate = nowMs >= entry.latestDispatchAtMs - settings.shedLeadMs
+        return isLate || nowMs - entry.request.arrivedAtMs >= pool.preemptAfterMs
+    }
+
+    private fun check(nowMs: Long, kind: SlotKind, binding: Boolean) {
+        if (state.servers.isLowest(kind.tier)) return
+        val servers = state.servers.ofPool(kind.pool)
+        rounds.checks(nowMs, kind, servers, binding).forEach { state.add(it) }
     }
 
     private fun shedIfAllowed(nowMs: Long, entry: EntryRequest) {
         val cause = entry.shedCause ?: return
+        if (entry.phase != RequestPhase.WAITING) return
         val deadlineAtMs = entry.request.deadlineAtMs
         val code = if (nowMs >= deadlineAtMs) ResultCode.DEADLINE_PASSED_WAITING else cause
-        if (isAllowed(nowMs, entry)) return end(entry, failure(entry, code))
+        if (isAllowed(nowMs, entry.kind)) return end(entry, failure(entry, code))
         val lastMs = maxOf(deadlineAtMs, entry.shedSinceMs + settings.shedLeadMs)
         if (nowMs >= lastMs) end(entry, unreachable())
     }
 
-    private fun isAllowed(nowMs: Long, entry: EntryRequest): Boolean {
-        if (state.servers.isLowest(entry.request.tier)) return true
-        val round = rounds[entry.kind] ?: return false
-        return round.allowsShedding(nowMs, state.servers.ofPool(entry.request.pool))
+    private fun isAllowed(nowMs: Long, kind: SlotKind): Boolean {
+        if (state.servers.isLowest(kind.tier)) return true
+        return rounds.allowShedding(nowMs, kind, state.servers.ofPool(kind.pool))
     }
 
     private fun end(entry: EntryRequest, failure: Failure) {
+        if (state.requests.find(entry.id) !== entry) return
         state.reject(entry, failure)
         asking.withdraw(entry)
     }
@@ -72,13 +92,13 @@
     private fun failure(entry: EntryRequest, code: ResultCode): Failure = Failure(
         code = code,
         detail = code.meaning,
-        retryAfterMs = RETRY_AFTER_MS
+        retryAfterMs = state.retryAfterMs(entry)
     )
 
     private fun unreachable(): Failure = Failure(
         code = ResultCode.HOST_UNREACHABLE,
         detail = "the owner of a backend server did not answer or make room before the deadline",
-        retryAfterMs = RETRY_AFTER_MS
+        retryAfterMs = settings.leaseTermMs
     )
 
     private fun cancelSuspended(entry: EntryRequest) {
@@ -88,8 +108,4 @@
         asking.withdraw(entry)
         state.add(EntryOutput.Preempt(entry.id, server, suspend = false))
     }
-
-    private companion object {
-        const val RETRY_AFTER_MS = 1_000L
-    }
 }
--- a/core/scheduling/src/main/kotlin/org/hyssoprack/scheduling/SlotMessage.kt
+++ b/core/scheduling/src/main/kotlin/org/hyssoprack/scheduling/SlotMessage.kt
@@ -123,29 +123,32 @@
     ) : SlotMessage
 
     /**
-     * Entry to owner: may requests like [requestId] be shed, or does a lower tier hold a slot there
-     * that they could use? Registers the tier as waiting until the verdict has lapsed.
+     * Entry to owner: how many slots do lower tiers hold there that requests of [tier] could use?
+     *
+     * @property binding whether the verdict shall allow shedding.
      */
     @Serializable
     @SerialName("sq")
     data class ShedCheck(
         @SerialName("s") val server: BackendServerId,
-        @SerialName("r") val requestId: RequestId,
         @SerialName("t") val tier: TierRank,
         @SerialName("l") val long: Boolean,
-        @SerialName("m") val sentAtMs: Long
+        @SerialName("m") val sentAtMs: Long,
+        @SerialName("b") val binding: Boolean
     ) : SlotMessage
 
     /**
-     * Owner to entry: answer to [ShedCheck]. It holds for [termMs] milliseconds from [checkedAtMs];
-     * until then the owner lends nothing to a lower tier that the checked request could use.
+     * Owner to entry: answer to [ShedCheck]. If [lowerTierSlots] is 0, it stays so for [termMs]
+     * milliseconds from [checkedAtMs]: until then the owner lends no slot to a lower tier that
+     * requests of [tier] could use.
      */
     @Serializable
     @SerialName("sv")
     data class ShedVerdict(
         @SerialName("s") val server: BackendServerId,
-        @SerialName("r") val requestId: RequestId,
-        @SerialName("w") val lowerTierHoldsSlot: Boolean,
+        @SerialName("t") val tier: TierRank,
+        @SerialName("l") val long: Boolean,
+        @SerialName("w") val lowerTierSlots: Int,
         @SerialName("m") val checkedAtMs: Long,
         @SerialName("p") val termMs: Long
     ) : SlotMessage
--- a/core/scheduling/src/main/kotlin/org/hyssoprack/scheduling/SlotTable.kt
+++ b/core/scheduling/src/main/kotlin/org/hyssoprack/scheduling/SlotTable.kt
@@ -26,6 +26,7 @@
     private val watches = TierWatches()
     private val preemption = Preemption(settings, leases)
     private val outputs = ArrayList<OwnerOutput>()
+    private var recallBelow: TierRank? = null
 
     val lent: Int get() = leases.lent
 
@@ -88,13 +89,17 @@
         step(nowMs) {
             if (nowMs < lendFromMs) return@step
             if (leases.inDoubt().any { message.tier.isAbove(it.tier) }) return@step
-            watches.add(from, message.tier, message.long, nowMs + settings.verdictTermMs)
+            val slots = lowerTierSlots(message.tier, message.long)
+            if (slots > 0) recallBelow = message.tier
+            val termMs = if (message.binding && slots == 0) settings.verdictTermMs else 0
+            if (termMs > 0) watches.add(from, message.tier, message.long, nowMs + termMs)
             val verdict = SlotMessage.ShedVerdict(
                 server = server.id,
-                requestId = message.requestId,
-                lowerTierHoldsSlot = lowerTierHoldsSlot(message.tier, message.long),
+                tier = message.tier,
+                long = message.long,
+                lowerTierSlots = slots,
                 checkedAtMs = message.sentAtMs,
-                termMs = settings.verdictTermMs
+                termMs = termMs
             )
             outputs.add(OwnerOutput(from.host, verdict))
         }
@@ -203,18 +208,18 @@
         return leases.lent < load.limit * PLENTIFUL_SHARE
     }
 
-    private fun lowerTierHoldsSlot(tier: TierRank, long: Boolean): Boolean {
-        if (pool.queueing == QueueRule.ARRIVAL) return false
-        val lower = leases.all().filter { tier.isAbove(it.tier) && it.held > 0 }
-        if (!long || !longFull()) return lower.isNotEmpty()
-        return lower.any { it.long }
+    private fun lowerTierSlots(tier: TierRank, long: Boolean): Int {
+        if (pool.queueing == QueueRule.ARRIVAL) return 0
+        val lower = leases.all().filter { tier.isAbove(it.tier) }
+        val usable = if (long && longFull()) lower.filter { it.long } else lower
+        return usable.sumOf { it.held }
     }
 
     /** Asks unused slots back while requests wait, and asks about leases in doubt. */
     private fun recall(nowMs: Long) {
-        val doubts = leases.inDoubt()
-        val wanted = if (queue.size == 0 && !server.leaving) emptyList() else leases.all()
-        val due = (doubts + wanted.filter { it.keepable }).filter {
+        val wanted = leases.all().filter { it.keepable && isWantedBack(it) }
+        recallBelow = null
+        val due = (leases.inDoubt() + wanted).filter {
             nowMs - settings.messageRepeatMs >= it.recallAskedAtMs
         }
         due.forEach { it.recallAskedAtMs = nowMs }
@@ -223,6 +228,11 @@
         }
     }
 
+    private fun isWantedBack(lease: OwnerLease): Boolean {
+        if (queue.size > 0 || server.leaving) return true
+        return recallBelow?.isAbove(lease.tier) ?: false
+    }
+
     private companion object {
         const val PLENTIFUL_SHARE = 0.7
     }
--- /dev/null
+++ b/core/scheduling/src/test/kotlin/org/hyssoprack/scheduling/InterleavingTest.kt
@@ -0,0 +1,174 @@
+package org.hyssoprack.scheduling
+
+import assertk.assertThat
+import assertk.assertions.isEmpty
+import assertk.assertions.isEqualTo
+import net.jqwik.api.Arbitraries
+import net.jqwik.api.Arbitrary
+import net.jqwik.api.Combinators
+import net.jqwik.api.ForAll
+import net.jqwik.api.Property
+import net.jqwik.api.Provide
+import net.jqwik.api.Tuple
+import org.hyssoprack.common.PoolName
+import org.hyssoprack.policy.Pool
+
+class InterleavingTest {
+    @Property(seed = SEED, tries = TRIES)
+    fun `no request is dispatched twice or after its end`(@ForAll("histories") history: History) {
+        val model = play(history)
+        assertThat(model.requests.values.filter { it.dispatches > 1 }).isEmpty()
+        assertThat(model.faults.filter { "dispatch" in it }).isEmpty()
+    }
+
+    @Property(seed = SEED, tries = TRIES)
+    fun `each request ends in exactly one outcome`(@ForAll("histories") history: History) {
+        val model = play(history)
+        assertThat(model.requests.values.filter { it.outcomes.size != 1 }).isEmpty()
+        assertThat(model.inProgress()).isEqualTo(0)
+    }
+
+    @Property(seed = SEED, tries = TRIES)
+    fun `no request is shed while a lower tier runs`(@ForAll("histories") history: History) {
+        assertThat(play(history).faults.filter { "shed" in it }).isEmpty()
+    }
+
+    @Property(seed = SEED, tries = TRIES)
+    fun `owners are unreachable only when messages are lost or late`(
+        @ForAll("histories") history: History
+    ) {
+        val calm = history.copy(dropPercent = 0, maxDelayMs = 10)
+        val actions = history.actions.filter {
+            it is ModelAction.Run || it is ModelAction.Burst ||
+                (it is ModelAction.Submit && it.deadlineMs >= ROOM_MS)
+        }
+        val model = play(calm.copy(actions = actions))
+        val outcomes = model.requests.values.flatMap { it.outcomes }
+        assertThat(outcomes.filter { it == "host-unreachable" }).isEmpty()
+    }
+
+    @Property(seed = SEED, tries = TRIES)
+    fun `calls that may not be repeated are never preempted`(
+        @ForAll("histories") history: History
+    ) {
+        val calls = play(history).requests.values.filter { it.request.once }
+        assertThat(calls.filter { it.preemptions > 0 }).isEmpty()
+    }
+
+    @Property(seed = SEED, tries = TRIES)
+    fun `all slots are lent again after the faults`(@ForAll("histories") history: History) {
+        val model = play(history)
+        repeat(SLOTS * SERVERS) {
+            model.submit(model.anyHost(), tier = 2, runsMs = 2_000)
+            model.run(100)
+        }
+        model.run(500)
+        assertThat(model.running().size).isEqualTo(SLOTS * SERVERS)
+    }
+
+    private fun play(history: History): Model {
+        val settings = ModelSettings(
+            hosts = HOSTS,
+            servers = SERVERS,
+            slots = SLOTS,
+            pool = Pool(PoolName("p"), queueLimit = 4),
+            dropPercent = history.dropPercent,
+            doublePercent = history.doublePercent,
+            maxDelayMs = history.maxDelayMs,
+            canSuspend = history.canSuspend
+        )
+        val model = Model(history.seed, settings)
+        history.actions.forEach { it.apply(model) }
+        model.heal()
+        model.run(QUIET_MS)
+        return model
+    }
+
+    @Provide
+    fun histories(): Arbitrary<History> = Combinators.combine(
+        Arbitraries.longs(),
+        Arbitraries.of(0, 5, 30),
+        Arbitraries.of(0, 20),
+        Arbitraries.of(1, 10, 500, 3_000),
+        Arbitraries.of(true, false),
+        actions().list().ofMinSize(5).ofMaxSize(60)
+    ).`as` { seed, drop, double, delay, suspend, actions ->
+        History(seed, drop, double, delay, suspend, actions)
+    }
+
+    private fun actions(): Arbitrary<ModelAction> = Arbitraries.frequencyOf(
+        entry(12, submits()),
+        entry(4, bursts()),
+        entry(8, ints(5, 400).map { ModelAction.Run(it) }),
+        entry(1, ints(500, 4_000).map { ModelAction.Run(it) }),
+        entry(1, ints(0, 99).map { ModelAction.GiveUp(it) }),
+        entry(1, ints(0, 99).map { ModelAction.Resubmit(it) }),
+        entry(1, hosts().map { ModelAction.Kill(it) }),
+        entry(1, hosts().map { ModelAction.Restart(it) }),
+        entry(1, changes()),
+        entry(1, leavings()),
+        entry(1, cuts())
+    )
+
+    private fun submits(): Arbitrary<out ModelAction> = Combinators.combine(
+        hosts(),
+        ints(0, 2),
+        ints(10, 3_000),
+        ints(1, 4_000),
+        ints(0, 1),
+        ints(0, 3)
+    ).`as` { host, tier, runs, deadline, account, kind ->
+        ModelAction.Submit(host, if (kind == 1) 0 else tier, runs, deadline, account, kind)
+    }
+
+    private fun bursts(): Arbitrary<out ModelAction> =
+        Combinators.combine(hosts(), ints(0, 2), ints(2, 8)).`as` { host, tier, count ->
+            ModelAction.Burst(host, tier, count)
+        }
+
+    private fun changes(): Arbitrary<out ModelAction> =
+        Combinators.combine(ints(0, SERVERS - 1), hosts()).`as` { server, host ->
+            ModelAction.ChangeOwner(server, host)
+        }
+
+    private fun leavings(): Arbitrary<out ModelAction> =
+        Combinators.combine(ints(0, SERVERS - 1), Arbitraries.of(true, false)).`as` {
+                server,
+                leaving
+            ->
+            ModelAction.SetLeaving(server, leaving)
+        }
+
+    private fun cuts(): Arbitrary<out ModelAction> =
+        Combinators.combine(hosts(), Arbitraries.of(true, false)).`as` { host, cut ->
+            ModelAction.Cut(host, cut)
+        }
+
+    private fun hosts(): Arbitrary<Int> = ints(0, HOSTS - 1)
+
+    private fun ints(from: Int, to: Int): Arbitrary<Int> = Arbitraries.integers().between(from, to)
+
+    private fun entry(
+        weight: Int,
+        actions: Arbitrary<out ModelAction>
+    ): Tuple.Tuple2<Int, Arbitrary<out ModelAction>> = Tuple.of(weight, actions)
+
+    data class History(
+        val seed: Long,
+        val dropPercent: Int,
+        val doublePercent: Int,
+        val maxDelayMs: Int,
+        val canSuspend: Boolean,
+        val actions: List<ModelAction>
+    )
+
+    private companion object {
+        const val SEED = "4711"
+        const val TRIES = 300
+        const val HOSTS = 3
+        const val SERVERS = 3
+        const val SLOTS = 2
+        const val ROOM_MS = 1_000
+        const val QUIET_MS = 45_000L
+    }
+}
