Route by expected completion and adapt the limit of each server

A limit controller per server shrinks on missed targets and gives a straggler one slot until it has recovered.

--- a/core/scheduling/src/main/kotlin/org/hyssoprack/scheduling/Asking.kt
+++ b/core/scheduling/src/main/kotlin/org/hyssoprack/scheduling/Asking.kt
@@ -5,10 +5,13 @@
     private val settings = state.settings
 
     /** Asks the first servers of [ranked] for a new request. */
-    fun ask(nowMs: Long, entry: EntryRequest, ranked: List<FleetServer>) {
-        entry.width = settings.firstOwners
-        entry.widenAtMs = nowMs + settings.wideningDelayMs
-        askServers(nowMs, entry, ranked.take(entry.width))
+    fun ask(nowMs: Long, entry: EntryRequest, ranked: List<RankedServer>) {
+        val widens = state.widens(entry)
+        entry.width = if (widens) settings.firstOwners else 1
+        entry.widenAtMs = if (widens) nowMs + settings.wideningDelayMs else Long.MAX_VALUE
+        val enoughMs = ranked.first().costMs * SIMILAR_RATIO + SIMILAR_MS
+        val similar = ranked.take(entry.width).filter { it.costMs <= enoughMs }
+        askServers(nowMs, entry, similar.map { it.server })
     }
 
     /** Asks the owner of the server that holds the suspended request's state. */
@@ -34,11 +37,12 @@
 
     private fun repeat(nowMs: Long, entry: EntryRequest) {
         if (nowMs >= entry.widenAtMs) widen(nowMs, entry)
+        val known = entry.asked.mapNotNull { state.servers.find(it) }.filter { !it.leaving }
+        if (known.isNotEmpty() && !state.widens(entry)) return askServers(nowMs, entry, known)
         val ranked = state.rank(nowMs, entry)
         if (ranked.isEmpty()) return
-        entry.latestDispatchAtMs = state.latestDispatch(nowMs, entry, ranked.first())
-        val chosen = ranked.take(entry.width)
-        val known = entry.asked.mapNotNull { state.servers.find(it) }.filter { !it.leaving }
+        entry.latestDispatchAtMs = state.latestDispatch(nowMs, entry, ranked.first().server)
+        val chosen = ranked.take(entry.width).map { it.server }
         askServers(nowMs, entry, (chosen + known).distinct())
     }
 
@@ -83,4 +87,9 @@
             urgent = isUrgent(nowMs, entry, server),
             resuming = if (entry.phase == RequestPhase.SUSPENDED) entry.lastLease else null
         )
+
+    private companion object {
+        const val SIMILAR_RATIO = 1.25
+        const val SIMILAR_MS = 10.0
+    }
 }
--- a/core/scheduling/src/main/kotlin/org/hyssoprack/scheduling/DefaultEntryScheduler.kt
+++ b/core/scheduling/src/main/kotlin/org/hyssoprack/scheduling/DefaultEntryScheduler.kt
@@ -29,8 +29,9 @@
         val entry = EntryRequest(request, SlotKind(request.pool, request.tier, long))
         state.requests.add(entry)
         val ranked = state.rank(nowMs, entry)
-        entry.latestDispatchAtMs = state.latestDispatch(nowMs, entry, ranked.first())
-        if (!slots.dispatchOnIdle(nowMs, entry, ranked.first())) {
+        val best = ranked.first().server
+        entry.latestDispatchAtMs = state.latestDispatch(nowMs, entry, best)
+        if (!slots.dispatchOnIdle(nowMs, entry, best)) {
             if (state.requests.waitingBeside(entry.kind) > pool.queueLimit) {
                 shedding.begin(nowMs, entry, ResultCode.QUEUE_FULL)
             }
--- a/core/scheduling/src/main/kotlin/org/hyssoprack/scheduling/DefaultOwnerScheduler.kt
+++ b/core/scheduling/src/main/kotlin/org/hyssoprack/scheduling/DefaultOwnerScheduler.kt
@@ -39,7 +39,12 @@
         val pool = fleet.pools[server.pool] ?: return
         val table = tables[server.id]
         if (table != null) return table.update(server, pool, fleet.tiers)
-        val load = ServerLoad(server.slots, pool)
+        val load = ServerLoad(
+            peers = { medianOfPeers(it) },
+            generation = server.generation,
+            slots = server.slots,
+            pool = pool
+        )
         loads[server.id] = load
         tables[server.id] = SlotTable(
             settings = settings,
@@ -52,6 +57,12 @@
         )
     }
 
+    private fun medianOfPeers(load: ServerLoad): Double? {
+        val recent = loads.values.filter { it.isPeerOf(load) }.mapNotNull { it.recent }.sorted()
+        if (recent.size < MIN_PEERS) return null
+        return recent[recent.size / 2]
+    }
+
     override fun loadReported(nowMs: Long, server: BackendServerId, running: Int, queued: Int) {
         loads[server]?.reported(running, queued)
     }
@@ -64,4 +75,8 @@
     override fun digests(): Map<BackendServerId, ServerDigest> = tables.mapValues {
         it.value.digest()
     }
+
+    private companion object {
+        const val MIN_PEERS = 2
+    }
 }
--- a/core/scheduling/src/main/kotlin/org/hyssoprack/scheduling/EntryRequest.kt
+++ b/core/scheduling/src/main/kotlin/org/hyssoprack/scheduling/EntryRequest.kt
@@ -25,6 +25,7 @@
     var lease: EntryLease? = null
     var lastLease: LeaseId? = null
     var dispatchedAtMs = 0L
+    var uncachedTokens = 0
     var hasFirstToken = false
     var preempting = false
 
--- a/core/scheduling/src/main/kotlin/org/hyssoprack/scheduling/EntryServers.kt
+++ b/core/scheduling/src/main/kotlin/org/hyssoprack/scheduling/EntryServers.kt
@@ -1,17 +1,33 @@
 package org.hyssoprack.scheduling
 
+import java.util.TreeMap
 import org.hyssoprack.common.BackendServerId
 import org.hyssoprack.common.FailureDomain
 import org.hyssoprack.common.PoolName
 import org.hyssoprack.common.TierRank
 import org.hyssoprack.policy.Pool
 
-/** The fleet as one entry host looks at it. */
-internal class EntryServers(private val ownDomain: FailureDomain, private val fleet: Fleet) {
+/**
+ * The fleet as one entry host looks at it. Of a large pool, each host compares only some servers:
+ * those of its own failure domain first, the others in an order that differs from host to host.
+ */
+internal class EntryServers(
+    private val ownDomain: FailureDomain,
+    private val hostKey: Long,
+    private val candidateLimit: Int,
+    private val fleet: Fleet
+) {
     private val byPool: Map<PoolName, List<FleetServer>> =
         fleet.servers.values.filter { !it.leaving }.groupBy { it.pool }.mapValues { (_, servers) ->
-            servers.sortedBy { it.domain != ownDomain }
+            servers.sortedWith(
+                compareBy<FleetServer> { it.domain != ownDomain }
+                    .thenBy { RendezvousHash.weight(hostKey, it.id) }
+            )
         }
+    private val nearby = byPool.mapValues { it.value.take(candidateLimit) }
+    private val rings = byPool.filterValues {
+        it.size > candidateLimit
+    }.mapValues { ring(it.value) }
     private val lowestTier: TierRank? = fleet.tiers.maxOfOrNull { it.rank }
 
     fun find(id: BackendServerId): FleetServer? = fleet.servers[id]
@@ -21,6 +37,27 @@
     /** Servers of the pool that take new work, those of the host's failure domain first. */
     fun ofPool(name: PoolName): List<FleetServer> = byPool[name].orEmpty()
 
+    /** Servers that are compared for [request], with the one to which its prefix belongs. */
+    fun candidates(request: WaitingRequest): List<FleetServer> {
+        val servers = nearby[request.pool].orEmpty()
+        val ring = rings[request.pool] ?: return servers
+        val prefix = request.prefixHash ?: return servers
+        val home = (ring.ceilingEntry(prefix) ?: ring.firstEntry()).value
+        return if (home in servers) servers else servers + home
+    }
+
     /** True if no tier is below [tier], so that its requests can be shed without a check. */
     fun isLowest(tier: TierRank): Boolean = lowestTier != null && lowestTier <= tier
+
+    private fun ring(servers: List<FleetServer>): TreeMap<Long, FleetServer> {
+        val ring = TreeMap<Long, FleetServer>()
+        servers.forEach { server ->
+            repeat(RING_POINTS) { ring[RendezvousHash.weight(it.toLong(), server.id)] = server }
+        }
+        return ring
+    }
+
+    private companion object {
+        const val RING_POINTS = 16
+    }
 }
--- a/core/scheduling/src/main/kotlin/org/hyssoprack/scheduling/EntrySlots.kt
+++ b/core/scheduling/src/main/kotlin/org/hyssoprack/scheduling/EntrySlots.kt
@@ -32,6 +32,7 @@
             lapsesAtMs = lapsesAtMs
         )
         leases.add(lease)
+        state.speeds.lent(lease.server, lease.held)
         val named = grant.requestId?.let { requests.find(it) }
         if (named != null) useFor(nowMs, named, lease)
         useUp(nowMs, lease)
@@ -70,6 +71,7 @@
         requests.dispatched(entry)
         state.add(EntryOutput.Dispatch(entry.id, lease.server))
         withdrawElsewhere(entry, lease)
+        entry.uncachedTokens = state.prefixes.uncachedTokens(lease.server, entry.request)
         entry.request.prefixHash?.let { state.prefixes.changed(lease.server, it, stored = true) }
     }
 
@@ -130,7 +132,7 @@
 
     private fun leastWasteFirst(nowMs: Long): Comparator<EntryRequest> =
         compareBy<EntryRequest> { if (it.hasFirstToken) 1 else 0 }
-            .thenBy { state.prefixes.uncachedTokens(it) }
+            .thenBy { it.uncachedTokens }
             .thenBy { nowMs - it.dispatchedAtMs }
 
     private fun preemptOne(entry: EntryRequest) {
--- a/core/scheduling/src/main/kotlin/org/hyssoprack/scheduling/EntryState.kt
+++ b/core/scheduling/src/main/kotlin/org/hyssoprack/scheduling/EntryState.kt
@@ -14,20 +14,28 @@
 ) {
     var fleet = Fleet(emptyMap(), emptyMap())
         private set
-    var servers = EntryServers(ownDomain, fleet)
+    var servers = entryServers()
         private set
     val requests = RequestTable(settings)
     val leases = LeaseBook(settings)
     val prefixes = PrefixCaches()
     val speeds = ServerSpeeds()
-    private val routing = Routing(this)
+    private val routing = Routing(leases, speeds, prefixes)
     private val outputs = ArrayList<EntryOutput>()
 
+    private fun entryServers(): EntryServers = EntryServers(
+        ownDomain = ownDomain,
+        hostKey = self.host.value.hashCode().toLong(),
+        candidateLimit = settings.candidateLimit,
+        fleet = fleet
+    )
+
     fun changeFleet(fleet: Fleet) {
         this.fleet = fleet
-        servers = EntryServers(ownDomain, fleet)
+        servers = entryServers()
         prefixes.retain(fleet.servers.keys)
         speeds.retain(fleet.servers.keys)
+        routing.retain(fleet.pools.keys)
     }
 
     fun add(output: EntryOutput) {
@@ -50,15 +58,22 @@
         return taken
     }
 
-    fun rank(nowMs: Long, entry: EntryRequest): List<FleetServer> = routing.rank(nowMs, entry)
+    fun rank(nowMs: Long, entry: EntryRequest): List<RankedServer> =
+        routing.rank(nowMs, entry, servers)
+
+    /** False if a request waits for the first server chosen, and for no other. */
+    fun widens(entry: EntryRequest): Boolean = routing.strategy(servers, entry.request.pool).widens
 
     /** Latest time at which a dispatch to [server] is expected to meet the deadline. */
     fun latestDispatch(nowMs: Long, entry: EntryRequest, server: FleetServer): Long =
-        entry.request.deadlineAtMs - routing.serviceMs(nowMs, entry, server).toLong()
+        entry.request.deadlineAtMs - (routing.serviceMs(nowMs, entry, server) * MARGIN).toLong()
 
     fun measured(nowMs: Long, entry: EntryRequest, report: FinishReport) {
         val server = entry.server?.let { servers.find(it) } ?: return
         speeds.measured(nowMs, server, report)
+        if (entry.phase == RequestPhase.RUNNING) {
+            speeds.held(entry.kind.long, nowMs - entry.dispatchedAtMs)
+        }
     }
 
     /** Estimated time after which a request like [entry] would find a slot. */
@@ -76,6 +91,7 @@
     }
 
     private companion object {
+        const val MARGIN = 1.15
         const val RETRY_MIN_MS = 500L
         const val RETRY_MAX_MS = 30_000L
     }
--- a/core/scheduling/src/main/kotlin/org/hyssoprack/scheduling/PrefixCaches.kt
+++ b/core/scheduling/src/main/kotlin/org/hyssoprack/scheduling/PrefixCaches.kt
@@ -17,8 +17,11 @@
     fun holds(server: BackendServerId, prefixHash: Long): Boolean =
         stored[server]?.contains(prefixHash) ?: false
 
-    /** Prompt tokens of a running request that its server probably had to process. */
-    fun uncachedTokens(entry: EntryRequest): Int = entry.request.promptTokens
+    /** Prompt tokens of [request] that [server] would probably have to process. */
+    fun uncachedTokens(server: BackendServerId, request: WaitingRequest): Int {
+        val prefix = request.prefixHash ?: return request.promptTokens
+        return if (holds(server, prefix)) 0 else request.promptTokens
+    }
 
     fun retain(servers: Set<BackendServerId>) {
         stored.keys.retainAll(servers)
--- a/core/scheduling/src/main/kotlin/org/hyssoprack/scheduling/RoutingStrategy.kt
+++ b/core/scheduling/src/main/kotlin/org/hyssoprack/scheduling/RoutingStrategy.kt
@@ -1,7 +1,10 @@
 package org.hyssoprack.scheduling
 
 /** Chooses among the backend servers of a pool. */
-interface RoutingStrategy {
-    /** All of [candidates], the best for [request] first. */
-    fun rank(nowMs: Long, request: WaitingRequest, candidates: List<FleetServer>): List<FleetServer>
+internal interface RoutingStrategy {
+    /** False if a request waits for the first server chosen, and for no other. */
+    val widens: Boolean
+
+    /** All of [candidates], the best for [entry] first. */
+    fun rank(nowMs: Long, entry: EntryRequest, candidates: List<FleetServer>): List<RankedServer>
 }
--- a/core/scheduling/src/main/kotlin/org/hyssoprack/scheduling/ServerDigest.kt
+++ b/core/scheduling/src/main/kotlin/org/hyssoprack/scheduling/ServerDigest.kt
@@ -12,6 +12,7 @@
  * @property firstTokenMs estimated time to the first token of a short prompt, in milliseconds.
  * @property tokenMs estimated time between tokens, in milliseconds.
  * @property prefillTokensPerMs estimated rate of prompt processing.
+ * @property straggling whether the server is much slower than before or than its peers.
  * @property reportedLoad running and queued requests by the server's own, stale report.
  */
 @Serializable
@@ -22,5 +23,6 @@
     @SerialName("f") val firstTokenMs: Double,
     @SerialName("t") val tokenMs: Double,
     @SerialName("p") val prefillTokensPerMs: Double,
-    @SerialName("r") val reportedLoad: Int = 0
+    @SerialName("r") val reportedLoad: Int = 0,
+    @SerialName("s") val straggling: Boolean = false
 )
--- a/core/scheduling/src/main/kotlin/org/hyssoprack/scheduling/ServerLoad.kt
+++ b/core/scheduling/src/main/kotlin/org/hyssoprack/scheduling/ServerLoad.kt
@@ -1,41 +1,75 @@
 package org.hyssoprack.scheduling
 
+import org.hyssoprack.common.Generation
+import org.hyssoprack.common.PoolName
 import org.hyssoprack.policy.Pool
 
 /** What an owner knows of the speed and load of one backend server. */
-internal class ServerLoad(private var slots: Int, private var pool: Pool) {
+internal class ServerLoad(
+    private val peers: Peers,
+    private val generation: Generation,
+    slots: Int,
+    pool: Pool
+) {
+    private val controller = LimitController(slots, pool)
+    private val poolName: PoolName = pool.name
+    private val meter = SpeedMeter()
+    private val holdMs = HashMap<Boolean, Ewma>()
     private var reportedLoad = 0
 
     /** Slots that may be lent at most. */
-    val limit: Int get() = slots
+    val limit: Int get() = controller.limit
 
-    fun changeSlots(slots: Int, pool: Pool) {
-        this.slots = slots
-        this.pool = pool
-    }
+    /** Recent time between tokens in milliseconds, or null if unknown. */
+    val recent: Double? get() = controller.recent
+
+    /** True if the server is one of the same kind as [other]. */
+    fun isPeerOf(other: ServerLoad): Boolean =
+        this !== other && generation == other.generation && poolName == other.poolName
+
+    fun changeSlots(slots: Int, pool: Pool) = controller.change(slots, pool)
 
     fun reported(running: Int, queued: Int) {
         reportedLoad = running + queued
     }
 
     /** Takes in a measurement that was made while [lent] slots were lent. */
-    fun measured(nowMs: Long, sample: ServerSample, lent: Int) = Unit
+    fun measured(nowMs: Long, sample: ServerSample, lent: Int) {
+        meter.addSample(nowMs, sample)
+        controller.measured(nowMs, sample, lent, peers.medianMs(this))
+    }
+
+    /** Notes that a request held its slot for [durationMs]. */
+    fun held(long: Boolean, durationMs: Long) {
+        holdMs.getOrPut(long) { Ewma(SpeedMeter.WEIGHT) }.add(durationMs.toDouble())
+    }
 
     /** Expected time for which a request holds its slot, in milliseconds. */
-    fun holdMs(long: Boolean): Double = if (long) LONG_HOLD_MS else SHORT_HOLD_MS
-
-    fun digest(lent: Int, waiting: List<Int>): ServerDigest = ServerDigest(
-        limit = limit,
-        lent = lent,
-        waiting = waiting,
-        firstTokenMs = 0.0,
-        tokenMs = 0.0,
-        prefillTokensPerMs = 0.0,
-        reportedLoad = reportedLoad
-    )
+    fun holdMs(long: Boolean): Double =
+        holdMs[long]?.value ?: if (long) FIRST_LONG_HOLD_MS else FIRST_SHORT_HOLD_MS
+
+    fun digest(lent: Int, waiting: List<Int>): ServerDigest {
+        val speed = meter.estimate()
+        return ServerDigest(
+            limit = limit,
+            lent = lent,
+            waiting = waiting,
+            firstTokenMs = speed.firstTokenMs,
+            tokenMs = speed.tokenMs,
+            prefillTokensPerMs = speed.prefillTokensPerMs,
+            reportedLoad = reportedLoad,
+            straggling = controller.isStraggling
+        )
+    }
+
+    /** The other servers that the same host owns. */
+    fun interface Peers {
+        /** Median of [recent] of the peers of [load], or null if there are too few. */
+        fun medianMs(load: ServerLoad): Double?
+    }
 
     private companion object {
-        const val SHORT_HOLD_MS = 500.0
-        const val LONG_HOLD_MS = 10_000.0
+        const val FIRST_SHORT_HOLD_MS = 500.0
+        const val FIRST_LONG_HOLD_MS = 10_000.0
     }
 }
--- a/core/scheduling/src/main/kotlin/org/hyssoprack/scheduling/ServerSample.kt
+++ b/core/scheduling/src/main/kotlin/org/hyssoprack/scheduling/ServerSample.kt
@@ -7,9 +7,11 @@
  * What one entry host measured on a backend server since its last report.
  *
  * @property requests number of requests measured.
- * @property firstTokenMs mean time from dispatch to the first token, in milliseconds.
- * @property tokenMs mean time between tokens, in milliseconds.
- * @property prefillTokens prompt tokens that were not in the prefix cache.
+ * @property firstTokenMs mean time from dispatch to the first token of short prompts, in
+ *   milliseconds; 0 if there were none.
+ * @property tokenMs mean time between tokens, in milliseconds; 0 if there were none.
+ * @property prefillTokens tokens of long prompts that were not in the prefix cache.
+ * @property prefillMs sum of the times from dispatch to the first token of long prompts.
  * @property failures requests that failed on the server.
  */
 @Serializable
@@ -18,5 +20,6 @@
     @SerialName("f") val firstTokenMs: Double,
     @SerialName("t") val tokenMs: Double,
     @SerialName("p") val prefillTokens: Long,
+    @SerialName("m") val prefillMs: Long = 0,
     @SerialName("x") val failures: Int = 0
 )
