Measure early, poll digests, ask for blocks and end hopeless requests at once

Long answers reported their first token only at their end, so a straggler among drafts was found late; first tokens now count when they come. Token, first-token and prefill paces are compared each with its own history, since a mixture of them looked like a straggler. Servers of pools in use send a digest at least each second. Requests that can't make it are shed on arrival, but never for a measurement that is old.

--- a/core/scheduling/src/main/kotlin/org/hyssoprack/scheduling/DefaultEntryScheduler.kt
+++ b/core/scheduling/src/main/kotlin/org/hyssoprack/scheduling/DefaultEntryScheduler.kt
@@ -31,17 +31,18 @@
         val ranked = state.rank(nowMs, entry)
         val best = ranked.first().server
         entry.latestDispatchAtMs = state.latestDispatch(nowMs, entry, best)
-        if (!slots.dispatchOnIdle(nowMs, entry, best)) {
-            if (state.requests.waitingBeside(entry.kind) > pool.queueLimit) {
-                shedding.begin(nowMs, entry, ResultCode.QUEUE_FULL)
-            }
-            asking.ask(nowMs, entry, ranked)
+        val isInTime = nowMs < entry.latestDispatchAtMs
+        if (!isInTime) shedding.begin(nowMs, entry, ResultCode.DEADLINE_UNREACHABLE)
+        if (isInTime && slots.dispatchOnIdle(nowMs, entry, best)) return state.takeOutputs()
+        if (state.requests.waitingBeside(entry.kind) > pool.queueLimit) {
+            shedding.begin(nowMs, entry, ResultCode.QUEUE_FULL)
         }
+        if (state.requests.find(entry.id) != null) asking.ask(nowMs, entry, ranked)
         return state.takeOutputs()
     }
 
     override fun firstToken(nowMs: Long, id: RequestId, elapsedMs: Long): List<EntryOutput> {
-        state.requests.find(id)?.hasFirstToken = true
+        state.requests.find(id)?.let { state.firstToken(nowMs, it, elapsedMs) }
         return emptyList()
     }
 
@@ -93,7 +94,7 @@
     override fun updateFleet(nowMs: Long, fleet: Fleet): List<EntryOutput> {
         val before = state.fleet
         state.changeFleet(fleet)
-        renewals.ownersChanged(nowMs, before)
+        renewals.fleetChanged(nowMs, before)
         slots.fleetChanged(nowMs)
         state.requests.waiting().filter {
             state.servers.ofPool(it.request.pool).isEmpty()
--- a/core/scheduling/src/main/kotlin/org/hyssoprack/scheduling/DefaultOwnerScheduler.kt
+++ b/core/scheduling/src/main/kotlin/org/hyssoprack/scheduling/DefaultOwnerScheduler.kt
@@ -10,6 +10,7 @@
 ) : OwnerScheduler {
     private val leaseIds = LeaseIds(self)
     private val tables = LinkedHashMap<BackendServerId, SlotTable>()
+    private var lastMs = 0L
     private val loads = HashMap<BackendServerId, ServerLoad>()
 
     override fun receive(nowMs: Long, from: HostRef, message: SlotMessage): List<OwnerOutput> =
@@ -58,7 +59,9 @@
     }
 
     private fun medianOfPeers(load: ServerLoad): Double? {
-        val recent = loads.values.filter { it.isPeerOf(load) }.mapNotNull { it.recent }.sorted()
+        val recent = loads.values.filter {
+            it.isPeerOf(load)
+        }.mapNotNull { it.recentTokenMs }.sorted()
         if (recent.size < MIN_PEERS) return null
         return recent[recent.size / 2]
     }
@@ -70,10 +73,13 @@
     override fun hostGone(nowMs: Long, host: HostRef): List<OwnerOutput> =
         tables.values.flatMap { it.hostGone(nowMs, host) }
 
-    override fun tick(nowMs: Long): List<OwnerOutput> = tables.values.flatMap { it.tick(nowMs) }
+    override fun tick(nowMs: Long): List<OwnerOutput> {
+        lastMs = nowMs
+        return tables.values.flatMap { it.tick(nowMs) }
+    }
 
     override fun digests(): Map<BackendServerId, ServerDigest> = tables.mapValues {
-        it.value.digest()
+        it.value.digest(lastMs)
     }
 
     private companion object {
--- a/core/scheduling/src/main/kotlin/org/hyssoprack/scheduling/EntryRequest.kt
+++ b/core/scheduling/src/main/kotlin/org/hyssoprack/scheduling/EntryRequest.kt
@@ -27,6 +27,7 @@
     var dispatchedAtMs = 0L
     var uncachedTokens = 0
     var hasFirstToken = false
+    var isFirstTokenMeasured = false
     var preempting = false
 
     val id get() = request.id
--- a/core/scheduling/src/main/kotlin/org/hyssoprack/scheduling/EntrySlots.kt
+++ b/core/scheduling/src/main/kotlin/org/hyssoprack/scheduling/EntrySlots.kt
@@ -33,6 +33,7 @@
         )
         leases.add(lease)
         state.speeds.lent(lease.server, lease.held)
+        if (grant.keep && grant.requestId != null) state.demand.missed(lease.server, lease.kind)
         val named = grant.requestId?.let { requests.find(it) }
         if (named != null) useFor(nowMs, named, lease)
         useUp(nowMs, lease)
@@ -43,7 +44,7 @@
         if (isPastDeadline(nowMs, entry)) return
         when (entry.phase) {
             RequestPhase.WAITING -> dispatch(nowMs, entry, lease)
-            RequestPhase.SUSPENDED -> if (entry.server == lease.server) resume(entry, lease)
+            RequestPhase.SUSPENDED -> resume(entry, lease)
             RequestPhase.RUNNING -> Unit
         }
     }
@@ -76,6 +77,7 @@
     }
 
     private fun resume(entry: EntryRequest, lease: EntryLease) {
+        if (entry.server != lease.server || entry.preempting) return
         occupy(entry, lease)
         entry.asked.clear()
         state.add(EntryOutput.Resume(entry.id, lease.server))
@@ -89,9 +91,12 @@
     }
 
     private fun withdrawElsewhere(entry: EntryRequest, lease: EntryLease) {
-        entry.asked.filter { it != lease.server }.forEach {
-            state.sendToOwner(it, SlotMessage.Withdraw(it, entry.id))
-        }
+        entry.asked.remove(lease.server)
+        withdrawAll(entry)
+    }
+
+    private fun withdrawAll(entry: EntryRequest) {
+        entry.asked.forEach { state.sendToOwner(it, SlotMessage.Withdraw(it, entry.id)) }
         entry.asked.clear()
     }
 
@@ -144,9 +149,23 @@
 
     fun fleetChanged(nowMs: Long) {
         leases.all().filter { isLeaving(it) }.forEach { giveBackIdle(nowMs, it) }
+        requests.suspended().filter { isGone(it) }.forEach { cancelSuspended(it) }
+    }
+
+    private fun isGone(entry: EntryRequest): Boolean =
+        entry.server?.let { state.servers.find(it) } == null
+
+    /** Gives up a suspended request that can't be resumed in time. */
+    private fun cancelSuspended(entry: EntryRequest) {
+        val server = entry.server ?: return
+        if (entry.preempting) return
+        entry.preempting = true
+        withdrawAll(entry)
+        state.add(EntryOutput.Preempt(entry.id, server, suspend = false))
     }
 
     fun tick(nowMs: Long) {
+        requests.suspended().filter { isPastDeadline(nowMs, it) }.forEach { cancelSuspended(it) }
         leases.all().filter { it.idle > 0 }.forEach {
             val unused = nowMs - it.idleSinceMs >= state.settings.blockIdleMs
             if (unused || nowMs >= it.lapsesAtMs) giveBackIdle(nowMs, it)
--- a/core/scheduling/src/main/kotlin/org/hyssoprack/scheduling/EntryState.kt
+++ b/core/scheduling/src/main/kotlin/org/hyssoprack/scheduling/EntryState.kt
@@ -20,6 +20,8 @@
     val leases = LeaseBook(settings)
     val prefixes = PrefixCaches()
     val speeds = ServerSpeeds()
+    val interest = ServerInterest()
+    val demand = BlockDemand()
     private val routing = Routing(leases, speeds, prefixes)
     private val outputs = ArrayList<EntryOutput>()
 
@@ -35,6 +37,7 @@
         servers = entryServers()
         prefixes.retain(fleet.servers.keys)
         speeds.retain(fleet.servers.keys)
+        interest.clear()
         routing.retain(fleet.pools.keys)
     }
 
@@ -58,19 +61,43 @@
         return taken
     }
 
-    fun rank(nowMs: Long, entry: EntryRequest): List<RankedServer> =
-        routing.rank(nowMs, entry, servers)
+    fun rank(nowMs: Long, entry: EntryRequest): List<RankedServer> {
+        val ranked = routing.rank(nowMs, entry, servers)
+        interest.compared(nowMs, entry.request.pool, ranked)
+        return ranked
+    }
 
     /** False if a request waits for the first server chosen, and for no other. */
     fun widens(entry: EntryRequest): Boolean = routing.strategy(servers, entry.request.pool).widens
 
     /** Latest time at which a dispatch to [server] is expected to meet the deadline. */
     fun latestDispatch(nowMs: Long, entry: EntryRequest, server: FleetServer): Long =
-        entry.request.deadlineAtMs - (routing.serviceMs(nowMs, entry, server) * MARGIN).toLong()
+        entry.request.deadlineAtMs - (freshServiceMs(nowMs, entry, server) * MARGIN).toLong()
 
-    fun measured(nowMs: Long, entry: EntryRequest, report: FinishReport) {
+    /** Expected service time; 0 without a recent measurement, so that an old one rejects nothing. */
+    private fun freshServiceMs(nowMs: Long, entry: EntryRequest, server: FleetServer): Double {
+        if (!speeds.isFresh(nowMs, server)) return 0.0
+        return routing.serviceMs(nowMs, entry, server)
+    }
+
+    /** Takes in the first token of a long answer, whose end is far. */
+    fun firstToken(nowMs: Long, entry: EntryRequest, elapsedMs: Long) {
+        entry.hasFirstToken = true
         val server = entry.server?.let { servers.find(it) } ?: return
+        if (!entry.kind.long || entry.isFirstTokenMeasured) return
+        entry.isFirstTokenMeasured = true
+        val report = FinishReport(
+            firstTokenMs = elapsedMs,
+            tokenMs = null,
+            promptTokens = entry.uncachedTokens
+        )
         speeds.measured(nowMs, server, report)
+    }
+
+    fun measured(nowMs: Long, entry: EntryRequest, report: FinishReport) {
+        val server = entry.server?.let { servers.find(it) } ?: return
+        val first = if (entry.isFirstTokenMeasured) null else report.firstTokenMs
+        speeds.measured(nowMs, server, report.copy(firstTokenMs = first))
         if (entry.phase == RequestPhase.RUNNING) {
             speeds.held(entry.kind.long, nowMs - entry.dispatchedAtMs)
         }
--- a/core/scheduling/src/main/kotlin/org/hyssoprack/scheduling/LeaseTable.kt
+++ b/core/scheduling/src/main/kotlin/org/hyssoprack/scheduling/LeaseTable.kt
@@ -37,15 +37,18 @@
             it.requestId == requestId && it.holder == holder && !it.renewed
         }
 
-    fun giveBack(nowMs: Long, holder: HostRef, message: SlotMessage.Return) {
+    /** Takes slots back; the lease if it has ended by that. */
+    fun giveBack(nowMs: Long, holder: HostRef, message: SlotMessage.Return): OwnerLease? {
         val lease = leases[message.lease] ?: doubtful[message.lease]
         if (lease == null) {
             if (message.held <= 0) closed.add(nowMs, message.lease)
-            return
+            return null
         }
-        if (lease.holder != holder) return
+        if (lease.holder != holder) return null
         lease.shrinkTo(message.held)
-        if (lease.held == 0) close(nowMs, lease)
+        if (lease.held > 0) return null
+        close(nowMs, lease)
+        return lease
     }
 
     fun renew(nowMs: Long, holder: HostRef, message: SlotMessage.Renew) {
--- a/core/scheduling/src/main/kotlin/org/hyssoprack/scheduling/LimitController.kt
+++ b/core/scheduling/src/main/kotlin/org/hyssoprack/scheduling/LimitController.kt
@@ -9,8 +9,9 @@
  * than before, or than its peers, is a straggler: it gets one slot until it has recovered.
  */
 internal class LimitController(private var slots: Int, private var pool: Pool) {
-    private val recentMs = Ewma(RECENT_WEIGHT)
-    private val historyMs = Ewma(HISTORY_WEIGHT)
+    private val tokenPace = Pace()
+    private val firstTokenPace = Pace()
+    private val prefillPace = Pace()
     private var exact = slots.toDouble()
     private var shrunkAtMs = Long.MIN_VALUE / 2
     private var grownAtMs = Long.MIN_VALUE / 2
@@ -20,45 +21,50 @@
 
     val limit: Int get() = exact.roundToInt().coerceIn(minOf(1, slots), slots)
 
-    /** Recent time between tokens, or to the first token where there are no others; null if unknown. */
-    val recent: Double? get() = recentMs.value
+    /** Recent time between tokens in milliseconds, or null if unknown. */
+    val recentTokenMs: Double? get() = tokenPace.recent
 
     fun change(slots: Int, pool: Pool) {
-        if (slots !=
-            this.slots
-        ) {
-            exact = if (this.slots > 0) exact * slots / this.slots else slots * 1.0
-        }
+        if (this.slots <= 0) exact = slots.toDouble()
+        if (this.slots > 0) exact = exact * slots / this.slots
         this.slots = slots
         this.pool = pool
     }
 
     /**
      * Takes in a measurement that was made while [lent] slots were lent. [peersMs] is the median of
-     * [recent] of other servers of the generation, or null.
+     * [recentTokenMs] of other servers of the generation, or null.
      */
     fun measured(nowMs: Long, sample: ServerSample, lent: Int, peersMs: Double?) {
-        val paceMs = if (sample.tokenMs > 0) sample.tokenMs else sample.firstTokenMs
-        if (paceMs > 0) recentMs.add(paceMs)
+        addPaces(sample, isNormal = !isStraggling)
         findStraggler(nowMs, peersMs)
         if (isStraggling) return
-        if (paceMs > 0) historyMs.add(paceMs)
         if (isOverTarget(sample, 1.0)) return shrink(nowMs)
         if (!isOverTarget(sample, GROW_BELOW)) grow(nowMs, lent)
     }
 
+    private fun addPaces(sample: ServerSample, isNormal: Boolean) {
+        if (sample.tokenMs > 0) tokenPace.add(sample.tokenMs, isNormal)
+        if (sample.firstTokenMs > 0) firstTokenPace.add(sample.firstTokenMs, isNormal)
+        if (sample.prefillTokens <= 0) return
+        prefillPace.add(sample.prefillMs / sample.prefillTokens.toDouble(), isNormal)
+    }
+
     private fun findStraggler(nowMs: Long, peersMs: Double?) {
-        val recent = recentMs.value ?: return
-        val known = historyMs.value?.takeIf { historyMs.count >= HISTORY_MIN_COUNT }
-        val reference = listOfNotNull(known, peersMs).minOrNull() ?: return
-        if (!isStraggling && recent > reference * STRAGGLING_RATIO) {
+        val slowdowns = listOfNotNull(
+            tokenPace.slowdown(peersMs),
+            firstTokenPace.slowdown(null)?.div(FIRST_TOKEN_TOLERANCE),
+            prefillPace.slowdown(null)?.div(FIRST_TOKEN_TOLERANCE)
+        )
+        val worst = slowdowns.maxOrNull() ?: return
+        if (!isStraggling && worst > STRAGGLING_RATIO) {
             isStraggling = true
             stragglingSinceMs = nowMs
             exact = 1.0
         }
         if (!isStraggling) return
         val isNewNormal = nowMs - stragglingSinceMs >= NEW_NORMAL_MS
-        if (recent < reference * RECOVERED_RATIO || isNewNormal) isStraggling = false
+        if (worst < RECOVERED_RATIO || isNewNormal) isStraggling = false
     }
 
     private fun isOverTarget(sample: ServerSample, share: Double): Boolean =
@@ -79,11 +85,9 @@
     }
 
     private companion object {
-        const val RECENT_WEIGHT = 0.4
-        const val HISTORY_WEIGHT = 0.02
-        const val HISTORY_MIN_COUNT = 5
         const val STRAGGLING_RATIO = 3.0
         const val RECOVERED_RATIO = 1.5
+        const val FIRST_TOKEN_TOLERANCE = 1.3
         const val NEW_NORMAL_MS = 120_000L
         const val GROW_BELOW = 0.8
         const val SHRINK_FACTOR = 0.85
--- a/core/scheduling/src/main/kotlin/org/hyssoprack/scheduling/Renewals.kt
+++ b/core/scheduling/src/main/kotlin/org/hyssoprack/scheduling/Renewals.kt
@@ -2,14 +2,36 @@
 
 import org.hyssoprack.common.BackendServerId
 
-/** Keeps the leases of an entry host alive and reports what was measured. */
+/**
+ * Keeps the leases of an entry host alive and reports what was measured. Servers that requests were
+ * waiting for lately are asked for a digest, also without a lease.
+ */
 internal class Renewals(private val state: EntryState) {
+    private val settings = state.settings
+    private val sentAtMs = HashMap<BackendServerId, Long>()
     private var nextMs = 0L
 
     fun tick(nowMs: Long) {
         if (nowMs < nextMs) return
-        nextMs = nowMs + state.settings.renewIntervalMs
+        nextMs = nowMs + settings.renewIntervalMs
         state.leases.servers.toList().forEach { renew(nowMs, it) }
+        state.interest.current(nowMs).filter { isOutdated(nowMs, it) }.forEach { renew(nowMs, it) }
+        state.demand.takeBlocks().forEach { askBlock(nowMs, it) }
+    }
+
+    private fun isOutdated(nowMs: Long, server: BackendServerId): Boolean {
+        val lastMs = sentAtMs[server] ?: return true
+        return nowMs - lastMs >= settings.digestIntervalMs
+    }
+
+    private fun askBlock(nowMs: Long, block: WantedBlock) {
+        val message = SlotMessage.AskBlock(
+            server = block.server,
+            tier = block.kind.tier,
+            count = minOf(block.count, settings.blockLimit),
+            sentAtMs = nowMs
+        )
+        state.sendToOwner(block.server, message)
     }
 
     /** Takes an owner's answer to a renewal. */
@@ -19,13 +41,15 @@
     }
 
     /** Tells new owners at once what is lent on their servers. */
-    fun ownersChanged(nowMs: Long, before: Fleet) {
+    fun fleetChanged(nowMs: Long, before: Fleet) {
+        sentAtMs.keys.retainAll(state.fleet.servers.keys)
         state.leases.servers.toList().filter {
             before.servers[it]?.owner != state.fleet.servers[it]?.owner
         }.forEach { renew(nowMs, it) }
     }
 
     private fun renew(nowMs: Long, server: BackendServerId) {
+        sentAtMs[server] = nowMs
         val renew = SlotMessage.Renew(
             server = server,
             leases = state.leases.of(server).map { it.toHeldLease() },
--- a/core/scheduling/src/main/kotlin/org/hyssoprack/scheduling/SchedulingSettings.kt
+++ b/core/scheduling/src/main/kotlin/org/hyssoprack/scheduling/SchedulingSettings.kt
@@ -5,6 +5,7 @@
  *
  * @property leaseTermMs time for which slots are lent or renewed.
  * @property renewIntervalMs time between two renewals.
+ * @property digestIntervalMs longest time between two digests of a server that is in use.
  * @property askRepeatMs time between two asks of a waiting request at one owner.
  * @property registrationTermMs time for which an owner remembers an ask or a shed check.
  * @property verdictTermMs time for which an owner's answer to a shed check holds.
@@ -23,6 +24,7 @@
 data class SchedulingSettings(
     val leaseTermMs: Long = 2_000,
     val renewIntervalMs: Long = 500,
+    val digestIntervalMs: Long = 1_000,
     val askRepeatMs: Long = 250,
     val registrationTermMs: Long = 1_000,
     val verdictTermMs: Long = 600,
--- a/core/scheduling/src/main/kotlin/org/hyssoprack/scheduling/ServerLoad.kt
+++ b/core/scheduling/src/main/kotlin/org/hyssoprack/scheduling/ServerLoad.kt
@@ -21,7 +21,7 @@
     val limit: Int get() = controller.limit
 
     /** Recent time between tokens in milliseconds, or null if unknown. */
-    val recent: Double? get() = controller.recent
+    val recentTokenMs: Double? get() = controller.recentTokenMs
 
     /** True if the server is one of the same kind as [other]. */
     fun isPeerOf(other: ServerLoad): Boolean =
@@ -48,8 +48,9 @@
     fun holdMs(long: Boolean): Double =
         holdMs[long]?.value ?: if (long) FIRST_LONG_HOLD_MS else FIRST_SHORT_HOLD_MS
 
-    fun digest(lent: Int, waiting: List<Int>): ServerDigest {
-        val speed = meter.estimate()
+    fun digest(nowMs: Long, lent: Int, waiting: List<Int>): ServerDigest {
+        val isOld = nowMs - meter.measuredAtMs > MEASUREMENT_TERM_MS
+        val speed = if (isOld) SpeedEstimate() else meter.estimate()
         return ServerDigest(
             limit = limit,
             lent = lent,
@@ -64,11 +65,12 @@
 
     /** The other servers that the same host owns. */
     fun interface Peers {
-        /** Median of [recent] of the peers of [load], or null if there are too few. */
+        /** Median of [recentTokenMs] of the peers of [load], or null if there are too few. */
         fun medianMs(load: ServerLoad): Double?
     }
 
     private companion object {
+        const val MEASUREMENT_TERM_MS = 10_000L
         const val FIRST_SHORT_HOLD_MS = 500.0
         const val FIRST_LONG_HOLD_MS = 10_000.0
     }
--- a/core/scheduling/src/main/kotlin/org/hyssoprack/scheduling/ServerSpeeds.kt
+++ b/core/scheduling/src/main/kotlin/org/hyssoprack/scheduling/ServerSpeeds.kt
@@ -40,6 +40,14 @@
         return generations[server.generation]?.estimate() ?: SpeedEstimate()
     }
 
+    /** True if the speed of [server] was measured lately, here or by its owner. */
+    fun isFresh(nowMs: Long, server: FleetServer): Boolean {
+        val own = meters[server.id]
+        if (own != null && nowMs - own.measuredAtMs <= DIGEST_TERM_MS) return true
+        val digest = knownDigest(nowMs, server.id)?.digest ?: return false
+        return digest.firstTokenMs + digest.tokenMs + digest.prefillTokensPerMs > 0
+    }
+
     /** Share of a prompt that is met from the cache when its prefix is there. */
     fun cachedShare(): Double = cachedShare.value ?: FIRST_CACHED_SHARE
 
--- a/core/scheduling/src/main/kotlin/org/hyssoprack/scheduling/Shedding.kt
+++ b/core/scheduling/src/main/kotlin/org/hyssoprack/scheduling/Shedding.kt
@@ -36,9 +36,6 @@
 
     fun tick(nowMs: Long) {
         state.requests.kinds.toList().forEach { tickKind(nowMs, it) }
-        state.requests.suspended().filter { nowMs >= it.request.deadlineAtMs }.forEach {
-            cancelSuspended(it)
-        }
         rounds.retain(state.requests.kinds)
     }
 
@@ -100,12 +97,4 @@
         detail = "the owner of a backend server did not answer or make room before the deadline",
         retryAfterMs = settings.leaseTermMs
     )
-
-    private fun cancelSuspended(entry: EntryRequest) {
-        val server = entry.server ?: return
-        if (entry.preempting) return
-        entry.preempting = true
-        asking.withdraw(entry)
-        state.add(EntryOutput.Preempt(entry.id, server, suspend = false))
-    }
 }
--- a/core/scheduling/src/main/kotlin/org/hyssoprack/scheduling/SlotTable.kt
+++ b/core/scheduling/src/main/kotlin/org/hyssoprack/scheduling/SlotTable.kt
@@ -75,13 +75,16 @@
         }
 
     fun giveBack(nowMs: Long, from: HostRef, message: SlotMessage.Return): List<OwnerOutput> =
-        step(nowMs) { leases.giveBack(nowMs, from, message) }
+        step(nowMs) {
+            val ended = leases.giveBack(nowMs, from, message)
+            if (ended != null && !ended.keepable) load.held(ended.long, nowMs - ended.grantedAtMs)
+        }
 
     fun renew(nowMs: Long, from: HostRef, message: SlotMessage.Renew): List<OwnerOutput> =
         step(nowMs) {
             leases.renew(nowMs, from, message)
             message.sample?.let { load.measured(nowMs, it, leases.lent) }
-            val digest = SlotMessage.Digest(server.id, digest(), message.sentAtMs)
+            val digest = SlotMessage.Digest(server.id, digest(nowMs), message.sentAtMs)
             outputs.add(OwnerOutput(from.host, digest))
         }
 
@@ -112,7 +115,7 @@
 
     fun tick(nowMs: Long): List<OwnerOutput> = step(nowMs) { queue.removeLapsed(nowMs) }
 
-    fun digest(): ServerDigest = load.digest(leases.lent, queue.countByTier())
+    fun digest(nowMs: Long): ServerDigest = load.digest(nowMs, leases.lent, queue.countByTier())
 
     private fun step(nowMs: Long, change: () -> Unit): List<OwnerOutput> {
         leases.lapse(nowMs)
