--- /dev/null
+++ b/client/src/main/kotlin/org/hyssoprack/client/EntryHost.kt
@@ -0,0 +1,7 @@
+package org.hyssoprack.client
+
+import org.hyssoprack.common.HostRef
+import org.hyssoprack.common.NetworkAddress
+
+/** An entry host that callers may use. */
+data class EntryHost(val ref: HostRef, val address: NetworkAddress)
--- /dev/null
+++ b/client/src/main/kotlin/org/hyssoprack/client/StreamCheck.kt
@@ -0,0 +1,83 @@
+package org.hyssoprack.client
+
+import arrow.core.Either
+import arrow.core.left
+import arrow.core.right
+import kotlinx.serialization.json.Json
+import kotlinx.serialization.json.JsonArray
+import kotlinx.serialization.json.JsonObject
+import kotlinx.serialization.json.JsonPrimitive
+import kotlinx.serialization.json.intOrNull
+import org.hyssoprack.common.Failure
+import org.hyssoprack.common.RequestId
+import org.hyssoprack.common.ResultCode
+
+/** Checks the chunks of one streamed answer: their id, their order, their number and their end. */
+internal class StreamCheck(private val id: RequestId) {
+    private val json = Json { ignoreUnknownKeys = true }
+    private var usage: CompletionUsage? = null
+
+    /** Number of tokens so far. */
+    var tokens = 0
+        private set
+
+    /** Takes one event of the stream; null if it tells the caller nothing. */
+    fun take(event: StreamEvent): Either<Failure, CompletionEvent?> = when {
+        event.name == "error" -> ErrorBody.read(event.data).left()
+        event.data == END_MARKER -> end()
+        else -> chunk(event.data)
+    }
+
+    private fun end(): Either<Failure, CompletionEvent?> {
+        val usage = usage ?: return broken("the token count is missing").left()
+        if (usage.completionTokens != tokens) {
+            return broken("$tokens of ${usage.completionTokens} tokens arrived").left()
+        }
+        return CompletionEvent.Finished(requestId = id, usage = usage).right()
+    }
+
+    private fun chunk(data: String): Either<Failure, CompletionEvent?> {
+        val chunk = Either.catch { json.parseToJsonElement(data) as? JsonObject }.getOrNull()
+            ?: return broken("a chunk is not a JSON object").left()
+        val chunkId = (chunk["id"] as? JsonPrimitive)?.content
+        if (chunkId != id.value) return mismatched("a chunk carries the id $chunkId").left()
+        if (usage != null) return broken("a chunk follows the token count").left()
+        val choices = chunk["choices"] as? JsonArray
+        if (choices.isNullOrEmpty()) return usage(chunk)
+        return token(chunk, choices.first() as? JsonObject, data)
+    }
+
+    private fun usage(chunk: JsonObject): Either<Failure, CompletionEvent?> {
+        val body = chunk["usage"] ?: return broken("a chunk is empty").left()
+        return Either.catch { json.decodeFromJsonElement(CompletionUsage.serializer(), body) }
+            .mapLeft { broken("the token count is unreadable") }
+            .map { read ->
+                usage = read
+                null
+            }
+    }
+
+    private fun token(
+        chunk: JsonObject,
+        choice: JsonObject?,
+        data: String
+    ): Either<Failure, CompletionEvent?> {
+        val index = (chunk["token_index"] as? JsonPrimitive)?.intOrNull
+        if (index != null && index != tokens) {
+            return broken("token $index came in place of $tokens").left()
+        }
+        val delta = choice?.get("delta") as? JsonObject
+        val text = (choice?.get("text") ?: delta?.get("content")) as? JsonPrimitive
+        val token = CompletionEvent.Token(tokens, text?.content.orEmpty(), data)
+        tokens++
+        return token.right()
+    }
+
+    private fun broken(detail: String) = Failure(ResultCode.STREAM_BROKEN, detail)
+
+    private fun mismatched(detail: String) = Failure(ResultCode.ANSWER_MISMATCHED, detail)
+
+    private companion object {
+        const val END_MARKER = "[DONE]"
+    }
+}
