Add the load tool: experiments, audits from logs, cost of a host

Cause: goodput by tier, wasted prefill and tier inversions need a measuring tool. Conclusion: bench run FILE and bench cost client|host work on real processes; streams of the engine emulator wait on one channel instead of a flow collection for each token.

--- /dev/null
+++ b/bench/src/main/kotlin/org/hyssoprack/bench/analysis/PrefillCount.kt
@@ -0,0 +1,16 @@
+package org.hyssoprack.bench.analysis
+
+import kotlinx.serialization.Serializable
+
+/** Prompt tokens that the engines processed, and those of them that were wasted. */
+@Serializable
+data class PrefillCount(val total: Long, val wasted: Map<WasteCause, Long>) {
+    /** Wasted share, from 0 to 1. */
+    val wastedShare: Double get() = share(wasted.values.sum())
+
+    /** Wasted share without repeated prefixes: work whose answer was thrown away. */
+    val thrownAwayShare: Double
+        get() = share(wasted.filterKeys { it != WasteCause.PREFIX_REPEATED }.values.sum())
+
+    private fun share(tokens: Long): Double = if (total == 0L) 0.0 else tokens.toDouble() / total
+}
--- /dev/null
+++ b/bench/src/main/kotlin/org/hyssoprack/bench/deployment/ChildProcess.kt
@@ -0,0 +1,63 @@
+package org.hyssoprack.bench.deployment
+
+import java.nio.file.Path
+import java.time.Duration
+import java.util.concurrent.TimeUnit
+
+/**
+ * A process that the bench started, ended by its handle.
+ *
+ * @param light whether the JVM shall save on threads and compilation, as stand-ins do.
+ */
+class ChildProcess(
+    val name: String,
+    mainClass: String,
+    arguments: List<String>,
+    heapMb: Int,
+    val log: Path,
+    light: Boolean = false
+) {
+    private val process = ProcessBuilder(command(mainClass, arguments, heapMb, light))
+        .redirectErrorStream(true)
+        .redirectOutput(log.toFile())
+        .start()
+    private var endedCpu: Duration? = null
+
+    val isAlive: Boolean get() = process.isAlive
+
+    /** Processor time used so far, in milliseconds. */
+    val cpuMs: Long get() = process.info().totalCpuDuration().orElse(Duration.ZERO).toMillis()
+
+    /** Ends the process at once, as a crash would. */
+    fun kill() {
+        process.destroyForcibly()
+        process.waitFor(KILL_WAIT_S, TimeUnit.SECONDS)
+    }
+
+    /** Asks the process to end and makes sure that it does. */
+    fun stop() {
+        process.destroy()
+        if (!process.waitFor(STOP_WAIT_S, TimeUnit.SECONDS)) kill()
+    }
+
+    private companion object {
+        const val STOP_WAIT_S = 3L
+        const val KILL_WAIT_S = 5L
+
+        val LIGHT_OPTIONS =
+            listOf("-XX:ActiveProcessorCount=2", "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1")
+
+        fun command(
+            mainClass: String,
+            arguments: List<String>,
+            heapMb: Int,
+            light: Boolean
+        ): List<String> {
+            val java = Path.of(System.getProperty("java.home"), "bin", "java").toString()
+            val options = listOf("-XX:+PerfDisableSharedMem", "-Xmx${heapMb}m") +
+                (if (light) LIGHT_OPTIONS else emptyList())
+            val classPath = listOf("-cp", System.getProperty("java.class.path"))
+            return listOf(java) + options + classPath + mainClass + arguments
+        }
+    }
+}
--- /dev/null
+++ b/bench/src/main/kotlin/org/hyssoprack/bench/deployment/EngineFleet.kt
@@ -0,0 +1,54 @@
+package org.hyssoprack.bench.deployment
+
+import java.nio.file.Path
+import kotlin.io.path.writeText
+import kotlinx.serialization.json.Json
+import org.hyssoprack.common.FailureDomain
+import org.hyssoprack.common.NetworkAddress
+import org.hyssoprack.platform.BackendServer
+import org.hyssoprack.platform.BackendServerKind
+import org.hyssoprack.standins.engine.EngineSettings
+
+/** Emulated engines, one process each. */
+internal class EngineFleet(private val directory: Path, engines: List<EngineSettings>) :
+    AutoCloseable {
+    private val settings = engines.zip(FreePorts.addresses(engines.size)) { engine, address ->
+        engine.copy(address = address)
+    }
+
+    /** The engines as the host list shows them, spread over the failure domains. */
+    val servers: List<BackendServer> = settings.mapIndexed { index, engine ->
+        BackendServer(
+            id = engine.id,
+            kind = BackendServerKind.ENGINE,
+            address = checkNotNull(NetworkAddress.parse(engine.address)),
+            domain = FailureDomain("d${index % DOMAINS + 1}"),
+            generation = engine.generation,
+            model = engine.model,
+            slots = engine.slots,
+            canSuspend = engine.canSuspend,
+            checksFencing = engine.checksFencing
+        )
+    }
+    val processes: List<ChildProcess> = settings.map(::start)
+
+    override fun close() = processes.forEach { it.kill() }
+
+    private fun start(engine: EngineSettings): ChildProcess {
+        val file = directory.resolve("${engine.id}.json")
+        file.writeText(Json { encodeDefaults = true }.encodeToString(engine))
+        return ChildProcess(
+            name = engine.id.value,
+            mainClass = "org.hyssoprack.standins.engine.EngineMainKt",
+            arguments = listOf("--settings", file.toString()),
+            heapMb = HEAP_MB,
+            log = directory.resolve("${engine.id}.log"),
+            light = true
+        )
+    }
+
+    companion object {
+        const val DOMAINS = 3
+        private const val HEAP_MB = 96
+    }
+}
--- /dev/null
+++ b/bench/src/main/kotlin/org/hyssoprack/bench/report/VariantSummary.kt
@@ -0,0 +1,62 @@
+package org.hyssoprack.bench.report
+
+import org.hyssoprack.bench.analysis.InversionAudit
+import org.hyssoprack.bench.analysis.LoggedEvent
+import org.hyssoprack.bench.analysis.PrefillAudit
+import org.hyssoprack.bench.experiment.Experiment
+import org.hyssoprack.bench.experiment.FleetCapacity
+import org.hyssoprack.bench.load.RequestOutcome
+import org.hyssoprack.bench.load.RequestRecord
+
+/** Sums up one variant from the callers' records and the logs of all processes. */
+class VariantSummary(private val experiment: Experiment, private val capacity: FleetCapacity) {
+    private val tierNames = experiment.classes.map { it.tier }.distinct()
+
+    /** The report of a variant. */
+    fun of(
+        variant: String,
+        records: List<RequestRecord>,
+        engineEvents: List<LoggedEvent>,
+        hostEvents: List<LoggedEvent>,
+        hostCpuMs: Map<String, Long>
+    ): VariantReport {
+        val counted = records.filter { it.planned.atMs >= experiment.warmUpS * MS_PER_S }
+        val prefill = PrefillAudit(engineEvents, hostEvents)
+        val inversions = InversionAudit(tierNames, hostEvents)
+        val sustained = inversions.inversions(VariantReport.SUSTAINED_MS)
+        val tiers = tierNames.map { tier(it, counted) }
+        val goodPerS = tiers.sumOf { it.goodTokens }.toDouble() / experiment.durationS
+        return VariantReport(
+            variant = variant,
+            tiers = tiers,
+            servedShare = goodPerS / capacity.tokensPerS,
+            prefill = prefill.count(records.associate { it.requestId to it.planned }),
+            inversions = inversions.inversions(marginMs = 0).size,
+            sustainedInversions = sustained.size,
+            firstInversions = sustained.take(MAX_NAMED_INVERSIONS),
+            runTwice = prefill.runTwice().size,
+            hostCpuMs = hostCpuMs
+        )
+    }
+
+    private fun tier(name: String, counted: List<RequestRecord>): TierReport {
+        val records = counted.filter { it.planned.traffic.tier == name }
+        val good = records.filter { it.outcome == RequestOutcome.GOOD }
+        return TierReport(
+            tier = name,
+            offered = records.size,
+            outcomes = records.groupingBy { it.outcome }.eachCount(),
+            firstToken = Percentiles.of(records.asSequence().mapNotNull { it.firstTokenMs }),
+            betweenTokens = Percentiles.of(
+                records.asSequence().flatMap { it.tokenGapsMs.asSequence() }.map { it.toDouble() }
+            ),
+            goodTokens = good.sumOf { it.tokens.toLong() },
+            resultCodes = records.mapNotNull { it.resultCode }.groupingBy { it }.eachCount()
+        )
+    }
+
+    private companion object {
+        const val MS_PER_S = 1_000.0
+        const val MAX_NAMED_INVERSIONS = 20
+    }
+}
--- a/testing/standins/src/main/kotlin/org/hyssoprack/standins/engine/CompletionRoutes.kt
+++ b/testing/standins/src/main/kotlin/org/hyssoprack/standins/engine/CompletionRoutes.kt
@@ -13,7 +13,6 @@
 import io.ktor.server.routing.post
 import java.util.UUID
 import kotlinx.coroutines.NonCancellable
-import kotlinx.coroutines.flow.first
 import kotlinx.coroutines.withContext
 import org.hyssoprack.backend.CompletionBody
 
@@ -88,8 +87,8 @@
 
     private suspend fun whole(call: ApplicationCall, run: EngineRun, isChat: Boolean) {
         try {
-            val end = run.progress.first { it.endReason != null }
-            if (end.endReason != EndReason.DONE) {
+            awaitEnd(run)
+            if (run.progress.endReason != EndReason.DONE) {
                 return call.error(run.id, HttpStatusCode.InternalServerError, admitted = true)
             }
             val text = chunks(run, run.id, run.marker, isChat).whole(run)
@@ -100,6 +99,15 @@
         }
     }
 
+    private suspend fun awaitEnd(run: EngineRun) {
+        val changes = run.watch()
+        try {
+            while (run.progress.endReason == null) changes.receive()
+        } finally {
+            run.unwatch(changes)
+        }
+    }
+
     private suspend fun chunks(run: EngineRun, id: String, marker: String, isChat: Boolean) =
         ChunkWriter(id = id, marker = marker, model = core.status().model.value, isChat = isChat)
 
--- a/testing/standins/src/main/kotlin/org/hyssoprack/standins/engine/EngineRun.kt
+++ b/testing/standins/src/main/kotlin/org/hyssoprack/standins/engine/EngineRun.kt
@@ -1,7 +1,7 @@
 package org.hyssoprack.standins.engine
 
-import kotlinx.coroutines.flow.MutableStateFlow
-import kotlinx.coroutines.flow.StateFlow
+import java.util.concurrent.CopyOnWriteArrayList
+import kotlinx.coroutines.channels.Channel
 
 /** One request on an emulated engine. All but [progress] belongs to the engine's task. */
 internal class EngineRun(
@@ -16,33 +16,39 @@
     produced: Int = 0,
     state: RunState = RunState.QUEUED
 ) {
-    private val mutableProgress = MutableStateFlow(RunProgress(state = state, produced = produced))
+    private val watchers = CopyOnWriteArrayList<Channel<Unit>>()
 
     /** Stage and number of tokens, for the streams. */
-    val progress: StateFlow<RunProgress> = mutableProgress
+    @Volatile
+    var progress = RunProgress(state = state, produced = produced)
+        private set
     var cachedTokens = 0
     var attachedStreams = 0
     var detachedAtMs: Long? = null
     var endedAtMs = 0L
-    val state: RunState get() = mutableProgress.value.state
-    val produced: Int get() = mutableProgress.value.produced
-    val isActive: Boolean get() = state == RunState.PREFILL || state == RunState.DECODE
+    val state: RunState get() = progress.state
+    val produced: Int get() = progress.produced
     val prefillLeft: Int get() = promptTokens - cachedTokens - prefilledTokens
 
-    /** Moves to [state]. */
-    fun enter(state: RunState) {
-        mutableProgress.value = mutableProgress.value.copy(state = state)
+    /** A channel that gets an element after each change of [progress], conflated. */
+    fun watch(): Channel<Unit> = Channel<Unit>(Channel.CONFLATED).also(watchers::add)
+
+    /** Ends the use of a channel of [watch]. */
+    fun unwatch(channel: Channel<Unit>) {
+        watchers.remove(channel)
     }
 
+    /** Moves to [state]. */
+    fun enter(state: RunState) = change(progress.copy(state = state))
+
     /** Adds one token. */
-    fun produce() {
-        val now = mutableProgress.value
-        mutableProgress.value = now.copy(state = RunState.DECODE, produced = now.produced + 1)
-    }
+    fun produce() = change(progress.copy(state = RunState.DECODE, produced = progress.produced + 1))
 
     /** Ends the request. */
-    fun end(reason: EndReason) {
-        val now = mutableProgress.value
-        mutableProgress.value = now.copy(state = RunState.ENDED, endReason = reason)
+    fun end(reason: EndReason) = change(progress.copy(state = RunState.ENDED, endReason = reason))
+
+    private fun change(next: RunProgress) {
+        progress = next
+        watchers.forEach { it.trySend(Unit) }
     }
 }
--- a/testing/standins/src/main/kotlin/org/hyssoprack/standins/engine/TokenStream.kt
+++ b/testing/standins/src/main/kotlin/org/hyssoprack/standins/engine/TokenStream.kt
@@ -2,8 +2,8 @@
 
 import io.ktor.utils.io.ByteWriteChannel
 import io.ktor.utils.io.writeStringUtf8
+import kotlinx.coroutines.channels.ReceiveChannel
 import kotlinx.coroutines.delay
-import kotlinx.coroutines.flow.first
 import kotlinx.coroutines.withTimeoutOrNull
 import org.hyssoprack.standins.common.StreamCutException
 
@@ -20,22 +20,34 @@
 
     /** Writes until the request has ended, or until the fault of this stream says to stop. */
     suspend fun writeTo(output: ByteWriteChannel) {
+        val changes = run.watch()
+        try {
+            writeTo(output, changes)
+        } finally {
+            run.unwatch(changes)
+        }
+    }
+
+    private suspend fun writeTo(output: ByteWriteChannel, changes: ReceiveChannel<Unit>) {
         output.writeStringUtf8(": accepted\n\n")
         output.flush()
-        var progress = run.progress.value
         while (true) {
+            val progress = run.progress
             writeTokens(output, progress.produced)
             if (isFaultDue()) return stop()
             if (progress.endReason != null) return finish(output, progress)
-            progress = nextProgress(output, progress)
+            awaitChange(output, progress.state, changes)
         }
     }
 
-    private suspend fun nextProgress(output: ByteWriteChannel, seen: RunProgress): RunProgress {
-        while (true) {
-            val changed = withTimeoutOrNull(KEEP_ALIVE_MS) { run.progress.first { it != seen } }
-            if (changed != null) return changed
-            if (seen.state != RunState.QUEUED && seen.state != RunState.SUSPENDED) continue
+    private suspend fun awaitChange(
+        output: ByteWriteChannel,
+        state: RunState,
+        changes: ReceiveChannel<Unit>
+    ) {
+        val waits = state == RunState.QUEUED || state == RunState.SUSPENDED
+        if (!waits) return changes.receive()
+        while (withTimeoutOrNull(KEEP_ALIVE_MS) { changes.receive() } == null) {
             output.writeStringUtf8(": waiting\n\n")
             output.flush()
         }
