--- a/daemon/src/main/kotlin/org/hyssoprack/daemon/ChannelSink.kt
+++ b/daemon/src/main/kotlin/org/hyssoprack/daemon/ChannelSink.kt
@@ -1,15 +1,34 @@
 package org.hyssoprack.daemon
 
+import kotlinx.coroutines.CompletableDeferred
+import kotlinx.coroutines.NonCancellable
 import kotlinx.coroutines.channels.ClosedSendChannelException
 import kotlinx.coroutines.channels.SendChannel
+import kotlinx.coroutines.withContext
 import org.hyssoprack.backend.EngineUsage
 import org.hyssoprack.host.AnswerSink
 
 /** Passes the parts of an answer to the task that writes them to the caller. */
 internal class ChannelSink(private val parts: SendChannel<AnswerPart>) : AnswerSink {
+    private val written = CompletableDeferred<Boolean>()
+
     override suspend fun token(data: String): Boolean = send(AnswerPart.Token(data))
 
-    override suspend fun finished(usage: EngineUsage): Boolean = send(AnswerPart.Finished(usage))
+    // Not cancellable: the writer always says whether the end was written, and the caller often
+    // closes the connection at the very moment at which it was.
+    override suspend fun finished(usage: EngineUsage): Boolean = withContext(NonCancellable) {
+        send(AnswerPart.Finished(usage)) && written.await()
+    }
+
+    /** Called by the writer when the end of the answer was written. */
+    fun endWritten() {
+        written.complete(true)
+    }
+
+    /** Called by the writer when it stops; what is not written by now never will be. */
+    fun writerStopped() {
+        written.complete(false)
+    }
 
     private suspend fun send(part: AnswerPart): Boolean = try {
         parts.send(part)
--- a/daemon/src/main/kotlin/org/hyssoprack/daemon/CompletionResponder.kt
+++ b/daemon/src/main/kotlin/org/hyssoprack/daemon/CompletionResponder.kt
@@ -19,14 +19,16 @@
     /** Serves [request]; the status is sent only when the first token or the failure is known. */
     suspend fun respond(call: ApplicationCall, request: AdmittedRequest) = coroutineScope {
         val parts = Channel<AnswerPart>(PARTS_CAPACITY)
+        val sink = ChannelSink(parts)
         val producer = launch {
-            val end = service.complete(request, ChannelSink(parts))
+            val end = service.complete(request, sink)
             end.failure?.let { parts.send(AnswerPart.Failed(it)) }
             parts.close()
         }
         try {
-            write(call, request, parts)
+            write(call, request, parts, sink)
         } finally {
+            sink.writerStopped()
             parts.cancel()
             producer.cancel()
         }
@@ -35,15 +37,16 @@
     private suspend fun write(
         call: ApplicationCall,
         request: AdmittedRequest,
-        parts: ReceiveChannel<AnswerPart>
+        parts: ReceiveChannel<AnswerPart>,
+        sink: ChannelSink
     ) {
         when (val first = parts.receiveCatching().getOrNull()) {
             null -> call.respondFailure(Failure(ResultCode.INTERNAL, "The request has no end."))
             is AnswerPart.Failed -> call.respondFailure(first.failure)
             else -> if (request.stream) {
-                writeStream(call, request, first, parts)
+                writeStream(call, request, first, parts, sink)
             } else {
-                writeWhole(call, request, first, parts)
+                writeWhole(call, request, first, parts, sink)
             }
         }
     }
@@ -52,13 +55,15 @@
         call: ApplicationCall,
         request: AdmittedRequest,
         first: AnswerPart,
-        parts: ReceiveChannel<AnswerPart>
+        parts: ReceiveChannel<AnswerPart>,
+        sink: ChannelSink
     ) = call.respondBytesWriter(contentType = ContentType.Text.EventStream) {
         var part: AnswerPart? = first
         while (part != null) {
             writeStringUtf8(streamText(request, part))
             val next = parts.tryReceive().getOrNull()
             if (next == null) flush()
+            if (part is AnswerPart.Finished) sink.endWritten()
             part = next ?: parts.receiveCatching().getOrNull()
         }
     }
@@ -74,7 +79,8 @@
         call: ApplicationCall,
         request: AdmittedRequest,
         first: AnswerPart,
-        parts: ReceiveChannel<AnswerPart>
+        parts: ReceiveChannel<AnswerPart>,
+        sink: ChannelSink
     ) {
         val text = StringBuilder()
         var part: AnswerPart? = first
@@ -83,10 +89,14 @@
             part = parts.receiveCatching().getOrNull()
         }
         when (part) {
-            is AnswerPart.Finished -> call.respondText(
-                text = CompletionJson.whole(request, text.toString(), part.usage),
-                contentType = ContentType.Application.Json
-            )
+            is AnswerPart.Finished -> {
+                call.respondText(
+                    text = CompletionJson.whole(request, text.toString(), part.usage),
+                    contentType = ContentType.Application.Json
+                )
+                sink.endWritten()
+            }
+
             is AnswerPart.Failed -> call.respondFailure(part.failure)
             else -> call.respondFailure(Failure(ResultCode.INTERNAL, "The answer has no end."))
         }
--- a/daemon/src/main/kotlin/org/hyssoprack/daemon/HostRuntime.kt
+++ b/daemon/src/main/kotlin/org/hyssoprack/daemon/HostRuntime.kt
@@ -124,7 +124,8 @@
 
     private val requests = RequestRegistry(clock = clock, giveUpWaiting = entry::giveUp)
     private val retries = RetryTask(self = self, registry = requests, send = link::send)
-    private val recorder = RecorderGroup(listOf(MetricsRecorder(registry)))
+    private val burn = BurnRecorder(self.host, bundles, clock)
+    private val recorder = RecorderGroup(listOf(MetricsRecorder(registry), burn))
 
     private val service = RequestService(
         self = self,
@@ -175,6 +176,7 @@
         ),
         holder = bundles,
         state = report,
+        burn = burn,
         bodies = bodies,
         drain = drain::begin,
         metrics = registry::scrape,
--- a/daemon/src/main/kotlin/org/hyssoprack/daemon/OperatorServer.kt
+++ b/daemon/src/main/kotlin/org/hyssoprack/daemon/OperatorServer.kt
@@ -37,6 +37,7 @@
     private val bundles: BundleService,
     private val holder: BundleHolder,
     private val state: HostReport,
+    private val burn: BurnRecorder,
     private val bodies: BodyReader,
     private val drain: () -> Unit,
     private val metrics: () -> String,
@@ -95,6 +96,7 @@
     private fun Routing.stateRoutes() {
         get("/v1/hosts") { asOperator(call) { call.respondJson(state.hosts()) } }
         get("/v1/backend-servers") { asOperator(call) { call.respondJson(state.backendServers()) } }
+        get("/v1/burn") { asOperator(call) { call.respondJson(burn.snapshot()) } }
         post("/v1/drain") {
             asOperator(call) {
                 drain()
--- a/host/src/main/kotlin/org/hyssoprack/host/CompletionRun.kt
+++ b/host/src/main/kotlin/org/hyssoprack/host/CompletionRun.kt
@@ -44,6 +44,9 @@
                 stream.join()
                 controls.forEach { it.cancel() }
             }
+        } catch (e: CancellationException) {
+            // A caller that closes the connection right after the end has its whole answer.
+            if (ending !is EngineEvent.Finished) throw e
         } finally {
             entry.finished(request.id, report())
         }
--- a/host/src/test/kotlin/org/hyssoprack/host/FakeEngine.kt
+++ b/host/src/test/kotlin/org/hyssoprack/host/FakeEngine.kt
@@ -6,6 +6,7 @@
 import kotlinx.coroutines.channels.Channel
 import kotlinx.coroutines.flow.Flow
 import kotlinx.coroutines.flow.consumeAsFlow
+import kotlinx.coroutines.flow.transformWhile
 import org.hyssoprack.backend.CacheEvent
 import org.hyssoprack.backend.EngineCall
 import org.hyssoprack.backend.EngineClient
@@ -25,7 +26,10 @@
 
     override fun complete(server: BackendServer, call: EngineCall): Flow<EngineEvent> {
         calls += "complete"
-        return events.consumeAsFlow()
+        return events.consumeAsFlow().transformWhile {
+            emit(it)
+            it !is EngineEvent.Finished && it !is EngineEvent.Failed
+        }
     }
 
     override suspend fun suspendRequest(server: BackendServer, requestId: RequestId) =
