Give orders to engines under a lease with a fencing number

Cause: orders of a host that was paused past its lease must not undo those of the next one, also on engines that ignore fencing numbers.

--- /dev/null
+++ b/core/orders/src/main/kotlin/org/hyssoprack/orders/DefaultOrderService.kt
@@ -0,0 +1,148 @@
+package org.hyssoprack.orders
+
+import arrow.core.Either
+import arrow.core.left
+import arrow.core.raise.either
+import arrow.core.right
+import java.util.concurrent.ConcurrentHashMap
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.sync.Mutex
+import kotlinx.coroutines.sync.withLock
+import kotlinx.coroutines.withTimeoutOrNull
+import org.hyssoprack.backend.EngineClient
+import org.hyssoprack.backend.EngineOrder
+import org.hyssoprack.backend.EngineStatus
+import org.hyssoprack.common.BackendServerId
+import org.hyssoprack.common.Clock
+import org.hyssoprack.common.EventLog
+import org.hyssoprack.common.Failure
+import org.hyssoprack.common.HostRef
+import org.hyssoprack.common.ResultCode
+import org.hyssoprack.common.SilentEventLog
+import org.hyssoprack.common.eq
+import org.hyssoprack.platform.BackendServer
+import org.hyssoprack.platform.TableService
+import org.hyssoprack.platform.WeightStore
+
+/**
+ * [OrderService] with a lease row and a fencing number for each backend server. The lease is
+ * checked right before each order, so that a host that was paused past its end sends nothing.
+ */
+class DefaultOrderService(
+    self: HostRef,
+    table: TableService,
+    weights: WeightStore,
+    private val engines: EngineClient,
+    private val clock: Clock,
+    private val settings: OrderSettings = OrderSettings(),
+    private val log: EventLog = SilentEventLog,
+    private val pause: suspend (Long) -> Unit = { delay(it) }
+) : OrderService {
+    private val taker = LeaseTaker(self, table, clock, settings, pause)
+    private val versions = VersionChooser(weights, clock, settings, pause)
+    private val leases = ConcurrentHashMap<BackendServerId, OrderLease>()
+    private val mutexes = ConcurrentHashMap<BackendServerId, Mutex>()
+
+    override suspend fun order(
+        server: BackendServer,
+        desired: DesiredState
+    ): Either<Failure, EngineStatus> {
+        val mutex = mutexes.getOrPut(server.id) { Mutex() }
+        return withTimeoutOrNull(settings.callLimitMs) { mutex.withLock { run(server, desired) } }
+            ?: Failure(ResultCode.OUTCOME_UNDECIDED, "The order took too long.").left()
+    }
+
+    override suspend fun release(server: BackendServer) {
+        val lease = leases.remove(server.id) ?: return
+        taker.release(server, lease)
+    }
+
+    private suspend fun run(
+        server: BackendServer,
+        desired: DesiredState
+    ): Either<Failure, EngineStatus> = either {
+        val version = versions.choose(desired).bind()
+        lease(server).bind()
+        send(server, desired, version).bind()
+        // A late order of an earlier holder may still reach a server that checks no numbers.
+        val checks = if (server.checksFencing) 1 else settings.checks
+        var status: EngineStatus? = null
+        repeat(checks) {
+            status = check(server, desired, version).bind()
+        }
+        status ?: raise(undecided(server))
+    }
+
+    private suspend fun lease(server: BackendServer): Either<Failure, OrderLease> {
+        val held = leases[server.id]
+        if (held != null && clock.nowMs() < held.endsMs) return keep(server)
+        return taker.take(server).onRight { leases[server.id] = it }
+    }
+
+    /** Makes sure that a good part of the term is left; never takes a lease that has ended. */
+    private suspend fun keep(server: BackendServer): Either<Failure, OrderLease> {
+        val held = leases[server.id] ?: return ended(server).left()
+        val leftMs = held.endsMs - clock.nowMs()
+        if (leftMs > settings.termMs / 2) return held.right()
+        leases.remove(server.id)
+        if (leftMs <= 0) return ended(server).left()
+        return taker.renew(server, held).onRight { leases[server.id] = it }
+    }
+
+    private suspend fun send(
+        server: BackendServer,
+        desired: DesiredState,
+        version: String
+    ): Either<Failure, Unit> {
+        val lease = leases[server.id]
+        if (lease == null || lease.endsMs - clock.nowMs() < settings.sendMs) {
+            leases.remove(server.id)
+            return ended(server).left()
+        }
+        val order = EngineOrder(
+            fencing = lease.fencing,
+            model = desired.model,
+            version = version,
+            adapters = desired.adapters,
+            role = desired.role
+        )
+        log.event("order-sent", "server" eq server.id, "fencing" eq lease.fencing)
+        val failure = engines.order(server, order).leftOrNull() ?: return Unit.right()
+        if (failure.code != ResultCode.ORDER_REFUSED) return Unit.right()
+        leases.remove(server.id)
+        return failure.left()
+    }
+
+    /** Reads the state after a pause; sends the order again if the state is another. */
+    private suspend fun check(
+        server: BackendServer,
+        desired: DesiredState,
+        version: String
+    ): Either<Failure, EngineStatus> = either {
+        repeat(ASSERT_TRIES) {
+            pause(settings.checkDelayMs)
+            val status = engines.status(server).mapLeft { undecided(server) }.bind()
+            if (isMet(status, desired, version)) return@either status
+            // An order of a later holder must not be undone, so a lease that ended stays ended.
+            keep(server).bind()
+            send(server, desired, version).bind()
+        }
+        raise(undecided(server))
+    }
+
+    private fun isMet(status: EngineStatus, desired: DesiredState, version: String) =
+        status.model == desired.model &&
+            status.version == version &&
+            status.adapters == desired.adapters &&
+            status.role == desired.role
+
+    private fun ended(server: BackendServer) =
+        Failure(ResultCode.LEASE_HELD, "The lease of ${server.id} has ended.")
+
+    private fun undecided(server: BackendServer) =
+        Failure(ResultCode.OUTCOME_UNDECIDED, "The state of ${server.id} is not as ordered yet.")
+
+    private companion object {
+        const val ASSERT_TRIES = 4
+    }
+}
--- /dev/null
+++ b/core/orders/src/main/kotlin/org/hyssoprack/orders/LeaseRow.kt
@@ -0,0 +1,43 @@
+package org.hyssoprack.orders
+
+import kotlinx.serialization.Serializable
+import kotlinx.serialization.SerializationException
+import kotlinx.serialization.encodeToString
+import kotlinx.serialization.json.Json
+import org.hyssoprack.common.BackendServerId
+import org.hyssoprack.common.FencingNumber
+import org.hyssoprack.common.HostRef
+import org.hyssoprack.platform.Row
+import org.hyssoprack.platform.RowKey
+
+/**
+ * Body of the row that says which host gives orders to a backend server.
+ *
+ * @property leaseId unique among all leases.
+ * @property released whether the holder gave the lease up before its end.
+ */
+@Serializable
+internal data class LeaseRow(
+    val leaseId: String,
+    val holder: HostRef,
+    val fencing: FencingNumber,
+    val released: Boolean = false
+) {
+    fun toJson(): String = json.encodeToString(this)
+
+    companion object {
+        private const val TABLE = "order-leases"
+        private val json = Json { encodeDefaults = true }
+
+        fun keyOf(server: BackendServerId) = RowKey(table = TABLE, key = server.value)
+
+        /** Reads the body of [row]; null if it is not of this form. */
+        fun of(row: Row): LeaseRow? = try {
+            json.decodeFromString<LeaseRow>(row.value)
+        } catch (_: SerializationException) {
+            null
+        } catch (_: IllegalArgumentException) {
+            null
+        }
+    }
+}
