Add a fault-injecting TCP proxy for tests

Cause: the promises have to be shown between real processes whose connections are delayed, dropped, cut, silenced and refused. Before: none. Conclusion: usable between daemons, stand-ins and callers.

--- /dev/null
+++ b/testing/faultproxy/src/main/kotlin/org/hyssoprack/faultproxy/ProxySettings.kt
@@ -0,0 +1,7 @@
+package org.hyssoprack.faultproxy
+
+import kotlinx.serialization.Serializable
+
+/** Settings file of the fault proxy. [seed] decides which connections and bytes are hit. */
+@Serializable
+data class ProxySettings(val listeners: List<ListenerSettings>, val seed: Long = 0)
--- /dev/null
+++ b/testing/faultproxy/src/test/kotlin/org/hyssoprack/faultproxy/FaultProxyTest.kt
@@ -0,0 +1,132 @@
+package org.hyssoprack.faultproxy
+
+import assertk.assertThat
+import assertk.assertions.isEqualTo
+import assertk.assertions.isNotEqualTo
+import java.io.IOException
+import java.net.InetAddress
+import java.net.ServerSocket
+import java.net.Socket
+import java.net.SocketTimeoutException
+import java.net.URI
+import java.net.http.HttpClient
+import java.net.http.HttpRequest
+import java.net.http.HttpResponse
+import kotlinx.coroutines.runBlocking
+import kotlinx.serialization.encodeToString
+import kotlinx.serialization.json.Json
+import net.jqwik.api.Example
+import org.hyssoprack.common.NetworkAddress
+
+class FaultProxyTest {
+    private enum class Echo { ANSWERED, SILENT, CLOSED, REFUSED }
+
+    private data class Case(
+        val name: String,
+        val faults: ListenerFaults,
+        val echo: Echo,
+        val arrives: Boolean
+    )
+
+    private val cases = listOf(
+        Case("no fault", ListenerFaults(), Echo.ANSWERED, arrives = true),
+        Case("delay", ListenerFaults(up = DirectionFaults(delayMs = 50)), Echo.ANSWERED, true),
+        Case("one-way cut up", ListenerFaults(up = SILENT), Echo.SILENT, arrives = false),
+        Case("one-way cut down", ListenerFaults(down = SILENT), Echo.SILENT, arrives = true),
+        Case("dropped", ListenerFaults(up = DirectionFaults(dropShare = 1.0)), Echo.SILENT, false),
+        Case("cut", ListenerFaults(up = DirectionFaults(cutShare = 1.0)), Echo.CLOSED, false),
+        Case("reply lost", ListenerFaults(loseReplyShare = 1.0), Echo.CLOSED, arrives = true),
+        Case("refused", ListenerFaults(refuse = true), Echo.REFUSED, arrives = false)
+    )
+
+    @Example
+    fun `each fault is seen by the connecting side and by the target as it should be`() =
+        cases.forEach { case ->
+            withProxy { echo, proxy, control ->
+                control.set(case.faults)
+                assertThat(echoOnce(proxy), case.name).isEqualTo(case.echo)
+                assertThat(echo.received.get() > 0, case.name).isEqualTo(case.arrives)
+            }
+        }
+
+    @Example
+    fun `silenced connections stay open without data while new ones work`() =
+        withProxy { _, proxy, control ->
+            connect(proxy).use { old ->
+                assertThat(exchange(old)).isEqualTo(Echo.ANSWERED)
+                control.post("/listeners/l/silence")
+                assertThat(exchange(old)).isEqualTo(Echo.SILENT)
+                assertThat(echoOnce(proxy)).isEqualTo(Echo.ANSWERED)
+            }
+        }
+
+    @Example
+    fun `a cut ends the connections that are open`() = withProxy { _, proxy, control ->
+        connect(proxy).use { old ->
+            assertThat(exchange(old)).isEqualTo(Echo.ANSWERED)
+            control.post("/listeners/l/cut")
+            assertThat(exchange(old)).isEqualTo(Echo.CLOSED)
+        }
+    }
+
+    @Example
+    fun `a listener that refused accepts again after a clear`() = withProxy { _, proxy, control ->
+        control.set(ListenerFaults(refuse = true))
+        assertThat(echoOnce(proxy)).isEqualTo(Echo.REFUSED)
+        control.post("/clear")
+        assertThat(echoOnce(proxy)).isNotEqualTo(Echo.REFUSED)
+    }
+
+    private fun echoOnce(port: Int): Echo = try {
+        connect(port).use(::exchange)
+    } catch (_: IOException) {
+        Echo.REFUSED
+    }
+
+    private fun exchange(socket: Socket): Echo = try {
+        socket.soTimeout = SILENCE_MS
+        socket.getOutputStream().write(7)
+        if (socket.getInputStream().read() == 7) Echo.ANSWERED else Echo.CLOSED
+    } catch (_: SocketTimeoutException) {
+        Echo.SILENT
+    } catch (_: IOException) {
+        Echo.CLOSED
+    }
+
+    private fun connect(port: Int) = Socket(InetAddress.getLoopbackAddress(), port)
+
+    private fun withProxy(block: (EchoServer, Int, Control) -> Unit) = EchoServer().use { echo ->
+        val port = freePort()
+        val control = NetworkAddress(ip = "127.0.0.1", port = freePort())
+        val listener = ListenerSettings("l", "127.0.0.1:$port", "127.0.0.1:${echo.port}")
+        FaultProxy(ProxySettings(listOf(listener)), control).use {
+            runBlocking { it.start() }
+            block(echo, port, Control(control))
+        }
+    }
+
+    private fun freePort(): Int =
+        ServerSocket(0, 1, InetAddress.getLoopbackAddress()).use { it.localPort }
+
+    private class Control(private val address: NetworkAddress) {
+        private val client = HttpClient.newHttpClient()
+
+        fun set(faults: ListenerFaults) =
+            send("PUT", "/listeners/l/faults", Json.encodeToString(faults))
+
+        fun post(path: String) = send("POST", path, "")
+
+        private fun send(method: String, path: String, body: String) {
+            val request = HttpRequest.newBuilder(URI("http://$address$path"))
+                .method(method, HttpRequest.BodyPublishers.ofString(body))
+                .build()
+            val answer = client.send(request, HttpResponse.BodyHandlers.ofString())
+            assertThat(answer.statusCode()).isEqualTo(200)
+        }
+    }
+
+    private companion object {
+        const val SILENCE_MS = 400
+        val SILENT = DirectionFaults(silent = true)
+    }
+}
