Let a host advertise another link address than it listens on

Cause: peers that reach a host through something in between, such as the fault proxy of the integration tests, need that address in the member list. Before: the listening address was the only one. Conclusion: links between hosts can be broken on purpose.

--- a/daemon/src/main/kotlin/org/hyssoprack/daemon/DaemonSettings.kt
+++ b/daemon/src/main/kotlin/org/hyssoprack/daemon/DaemonSettings.kt
@@ -14,6 +14,7 @@
  * @property callers address for callers.
  * @property operators address for operators and metrics.
  * @property peers link addresses to try when the table service lists no member.
+ * @property advertisedLink where peers reach this host, if it is not [link] itself.
  * @property operatorKeys SHA-256 hashes of the operators' keys.
  * @property addressTtlMs how long callers may use an answer of `GET /v1/hosts`.
  * @property maxBodyBytes largest body of a caller's call.
@@ -30,6 +31,7 @@
     val hostList: NetworkAddress,
     val weightStore: NetworkAddress,
     val peers: List<NetworkAddress> = emptyList(),
+    val advertisedLink: NetworkAddress = link,
     val operatorKeys: Map<ContentHash, OperatorName> = emptyMap(),
     val addressTtlMs: Long = 3_000,
     val maxBodyBytes: Int = 4 * 1024 * 1024
--- a/daemon/src/main/kotlin/org/hyssoprack/daemon/HostRuntime.kt
+++ b/daemon/src/main/kotlin/org/hyssoprack/daemon/HostRuntime.kt
@@ -64,7 +64,7 @@
     private val membership = SwimMembership(
         self = Member(
             ref = self,
-            linkAddress = settings.link,
+            linkAddress = settings.advertisedLink,
             callerAddress = settings.callers,
             domain = settings.domain,
             region = settings.region
@@ -239,6 +239,7 @@
                 self = self,
                 listen = settings.link,
                 messages = MESSAGES,
+                advertised = settings.advertisedLink,
                 clock = clock,
                 log = log
             ).map { link ->
--- a/daemon/src/main/kotlin/org/hyssoprack/daemon/SettingsReader.kt
+++ b/daemon/src/main/kotlin/org/hyssoprack/daemon/SettingsReader.kt
@@ -53,6 +53,7 @@
                 hostList = address("hostList"),
                 weightStore = address("weightStore"),
                 peers = peers(),
+                advertisedLink = advertisedLink(),
                 operatorKeys = operatorKeys(),
                 addressTtlMs = number("addressTtlMs", default = 3_000, range = 100L..600_000L),
                 maxBodyBytes =
@@ -69,6 +70,11 @@
             return "invalid"
         }
 
+        private fun advertisedLink(): NetworkAddress {
+            val isGiven = "advertisedLink" in json
+            return address(if (isGiven) "advertisedLink" else "link")
+        }
+
         private fun address(field: String): NetworkAddress =
             address("$.$field", json[field]) ?: NO_ADDRESS
 
@@ -125,8 +131,8 @@
         val NO_ADDRESS = NetworkAddress(ip = "0.0.0.0", port = 1)
         val KNOWN = setOf(
             "host", "domain", "region", "link", "callers", "operators", "tableService",
-            "objectStore", "hostList", "weightStore", "peers", "operatorKeys", "addressTtlMs",
-            "maxBodyBytes"
+            "objectStore", "hostList", "weightStore", "peers", "advertisedLink",
+            "operatorKeys", "addressTtlMs", "maxBodyBytes"
         )
     }
 }
