--- /dev/null
+++ b/testing/integration/src/main/kotlin/org/hyssoprack/integration/deployment/Http.kt
@@ -0,0 +1,51 @@
+package org.hyssoprack.integration.deployment
+
+import java.io.IOException
+import java.net.URI
+import java.net.http.HttpClient
+import java.net.http.HttpRequest
+import java.net.http.HttpResponse
+import java.time.Duration
+
+/** Blocking HTTP calls by which a test controls processes. */
+internal object Http {
+    private const val CONNECT_TIMEOUT_MS = 2_000L
+    private const val CALL_TIMEOUT_MS = 10_000L
+    private const val READY_STEP_MS = 50L
+    private val client = HttpClient.newBuilder()
+        .version(HttpClient.Version.HTTP_1_1)
+        .connectTimeout(Duration.ofMillis(CONNECT_TIMEOUT_MS))
+        .build()
+
+    /** Sends [body] and gives the answer of any status back. */
+    fun send(method: String, url: String, body: String = "", bearer: String? = null): HttpAnswer {
+        val request = HttpRequest.newBuilder(URI(url))
+            .timeout(Duration.ofMillis(CALL_TIMEOUT_MS))
+            .method(method, HttpRequest.BodyPublishers.ofString(body))
+        if (bearer != null) request.header("Authorization", "Bearer $bearer")
+        val answer = client.send(request.build(), HttpResponse.BodyHandlers.ofString())
+        return HttpAnswer(status = answer.statusCode(), body = answer.body())
+    }
+
+    /** Sends [body] and fails if the status is not 2xx. */
+    fun mustSend(method: String, url: String, body: String = "", bearer: String? = null): String {
+        val answer = send(method, url, body, bearer)
+        check(answer.isSuccess) { "$method $url: ${answer.status} ${answer.body}" }
+        return answer.body
+    }
+
+    /** Waits until [url] answers with any status. */
+    fun awaitAnswer(url: String, timeoutMs: Long, isAlive: () -> Boolean) {
+        val endNanos = System.nanoTime() + Duration.ofMillis(timeoutMs).toNanos()
+        while (true) {
+            try {
+                send("GET", url)
+                return
+            } catch (e: IOException) {
+                check(isAlive()) { "the process behind $url has ended" }
+                check(System.nanoTime() < endNanos) { "$url does not answer: $e" }
+                Thread.sleep(READY_STEP_MS)
+            }
+        }
+    }
+}
