Register waiting requests by account and kind, not one by one

At twice the load that the fleet can serve, each waiting request repeated its own ask at every owner, and owners sorted queues of thousands for each message: a model minute did not end within 4 minutes. One registration now stands for all requests of a host, account and kind, with their number.

--- a/core/scheduling/src/main/kotlin/org/hyssoprack/scheduling/DefaultEntryScheduler.kt
+++ b/core/scheduling/src/main/kotlin/org/hyssoprack/scheduling/DefaultEntryScheduler.kt
@@ -14,8 +14,10 @@
     settings: SchedulingSettings = SchedulingSettings()
 ) : EntryScheduler {
     private val state = EntryState(self, ownDomain, settings)
-    private val slots = EntrySlots(state)
-    private val asking = Asking(state)
+    private val registrations = Registrations(state)
+    private val slots = EntrySlots(state, registrations)
+    private val asking = Asking(state, registrations)
+    private val resuming = Resuming(state)
     private val shedding = Shedding(state, asking)
     private val renewals = Renewals(state)
 
@@ -51,7 +53,7 @@
         if (entry.phase == RequestPhase.WAITING) return emptyList()
         state.measured(nowMs, entry, report)
         state.requests.ended(nowMs, entry)
-        if (entry.phase == RequestPhase.SUSPENDED) asking.withdraw(entry)
+        if (entry.phase == RequestPhase.SUSPENDED) resuming.withdraw(entry)
         slots.release(nowMs, entry)
         return state.takeOutputs()
     }
@@ -62,7 +64,7 @@
         entry.phase = RequestPhase.SUSPENDED
         entry.preempting = false
         slots.release(nowMs, entry)
-        asking.askToResume(nowMs, entry)
+        resuming.ask(nowMs, entry)
         return state.takeOutputs()
     }
 
@@ -112,6 +114,7 @@
     override fun tick(nowMs: Long): List<EntryOutput> {
         slots.tick(nowMs)
         renewals.tick(nowMs)
+        resuming.tick(nowMs)
         asking.tick(nowMs)
         shedding.tick(nowMs)
         state.requests.forgetEnded(nowMs)
--- a/core/scheduling/src/main/kotlin/org/hyssoprack/scheduling/EntryRequest.kt
+++ b/core/scheduling/src/main/kotlin/org/hyssoprack/scheduling/EntryRequest.kt
@@ -23,7 +23,6 @@
 
     var server: BackendServerId? = null
     var lease: EntryLease? = null
-    var lastLease: LeaseId? = null
     var dispatchedAtMs = 0L
     var uncachedTokens = 0
     var hasFirstToken = false
@@ -31,4 +30,8 @@
     var preempting = false
 
     val id get() = request.id
+
+    /** True if [server] shall preempt a lower tier for this request. */
+    fun isUrgentAt(nowMs: Long, server: BackendServerId): Boolean =
+        urgentServer == server && nowMs < urgentUntilMs
 }
--- a/core/scheduling/src/main/kotlin/org/hyssoprack/scheduling/EntrySlots.kt
+++ b/core/scheduling/src/main/kotlin/org/hyssoprack/scheduling/EntrySlots.kt
@@ -3,7 +3,7 @@
 import org.hyssoprack.common.HostRef
 
 /** Uses the slots that an entry host holds: dispatches on them, keeps them, gives them back. */
-internal class EntrySlots(private val state: EntryState) {
+internal class EntrySlots(private val state: EntryState, private val registrations: Registrations) {
     private val requests = state.requests
     private val leases = state.leases
 
@@ -33,20 +33,20 @@
         )
         leases.add(lease)
         state.speeds.lent(lease.server, lease.held)
-        if (grant.keep && grant.requestId != null) state.demand.missed(lease.server, lease.kind)
-        val named = grant.requestId?.let { requests.find(it) }
-        if (named != null) useFor(nowMs, named, lease)
+        if (grant.keep && grant.account != null) state.demand.missed(lease.server, lease.kind)
+        val suspended = grant.resuming?.let { requests.find(it) }
+        if (suspended != null) resume(nowMs, suspended, lease)
+        if (grant.resuming == null) useForAccount(nowMs, grant, lease)
         useUp(nowMs, lease)
     }
 
-    private fun useFor(nowMs: Long, entry: EntryRequest, lease: EntryLease) {
-        if (entry.kind != lease.kind || !lease.isUsable(nowMs)) return
-        if (isPastDeadline(nowMs, entry)) return
-        when (entry.phase) {
-            RequestPhase.WAITING -> dispatch(nowMs, entry, lease)
-            RequestPhase.SUSPENDED -> resume(entry, lease)
-            RequestPhase.RUNNING -> Unit
-        }
+    private fun useForAccount(nowMs: Long, grant: SlotMessage.Grant, lease: EntryLease) {
+        val account = grant.account ?: return
+        val place = Place(server = lease.server, kind = lease.kind, account = account)
+        registrations.granted(nowMs, place)
+        val entry = registrations.next(place) ?: return
+        if (isLeaving(lease) || isPastDeadline(nowMs, entry)) return
+        dispatch(nowMs, entry, lease)
     }
 
     /** Uses idle slots of [lease] for waiting requests; gives back those that must not be kept. */
@@ -71,15 +71,15 @@
         entry.dispatchedAtMs = nowMs
         requests.dispatched(entry)
         state.add(EntryOutput.Dispatch(entry.id, lease.server))
-        withdrawElsewhere(entry, lease)
+        registrations.remove(entry)
         entry.uncachedTokens = state.prefixes.uncachedTokens(lease.server, entry.request)
         entry.request.prefixHash?.let { state.prefixes.changed(lease.server, it, stored = true) }
     }
 
-    private fun resume(entry: EntryRequest, lease: EntryLease) {
-        if (entry.server != lease.server || entry.preempting) return
+    private fun resume(nowMs: Long, entry: EntryRequest, lease: EntryLease) {
+        if (entry.phase != RequestPhase.SUSPENDED || entry.preempting) return
+        if (entry.server != lease.server || isPastDeadline(nowMs, entry)) return
         occupy(entry, lease)
-        entry.asked.clear()
         state.add(EntryOutput.Resume(entry.id, lease.server))
     }
 
@@ -90,21 +90,10 @@
         entry.lease = lease
     }
 
-    private fun withdrawElsewhere(entry: EntryRequest, lease: EntryLease) {
-        entry.asked.remove(lease.server)
-        withdrawAll(entry)
-    }
-
-    private fun withdrawAll(entry: EntryRequest) {
-        entry.asked.forEach { state.sendToOwner(it, SlotMessage.Withdraw(it, entry.id)) }
-        entry.asked.clear()
-    }
-
     /** Frees the slot of a request that ended or was suspended. */
     fun release(nowMs: Long, entry: EntryRequest) {
         val lease = entry.lease ?: return
         entry.lease = null
-        entry.lastLease = lease.id
         lease.inUse--
         lease.idleSinceMs = nowMs
         if (lease.keepable) return useUp(nowMs, lease)
@@ -149,23 +138,9 @@
 
     fun fleetChanged(nowMs: Long) {
         leases.all().filter { isLeaving(it) }.forEach { giveBackIdle(nowMs, it) }
-        requests.suspended().filter { isGone(it) }.forEach { cancelSuspended(it) }
-    }
-
-    private fun isGone(entry: EntryRequest): Boolean =
-        entry.server?.let { state.servers.find(it) } == null
-
-    /** Gives up a suspended request that can't be resumed in time. */
-    private fun cancelSuspended(entry: EntryRequest) {
-        val server = entry.server ?: return
-        if (entry.preempting) return
-        entry.preempting = true
-        withdrawAll(entry)
-        state.add(EntryOutput.Preempt(entry.id, server, suspend = false))
     }
 
     fun tick(nowMs: Long) {
-        requests.suspended().filter { isPastDeadline(nowMs, it) }.forEach { cancelSuspended(it) }
         leases.all().filter { it.idle > 0 }.forEach {
             val unused = nowMs - it.idleSinceMs >= state.settings.blockIdleMs
             if (unused || nowMs >= it.lapsesAtMs) giveBackIdle(nowMs, it)
--- a/core/scheduling/src/main/kotlin/org/hyssoprack/scheduling/LeaseTable.kt
+++ b/core/scheduling/src/main/kotlin/org/hyssoprack/scheduling/LeaseTable.kt
@@ -31,11 +31,15 @@
         leases[lease.id] = lease
     }
 
-    /** A lease that was granted for [requestId] and that its holder has not confirmed. */
-    fun unconfirmed(requestId: RequestId, holder: HostRef): OwnerLease? =
-        leases.values.firstOrNull {
-            it.requestId == requestId && it.holder == holder && !it.renewed
-        }
+    /** A lease that was granted for [resuming] and that its holder has not confirmed. */
+    fun unconfirmed(resuming: RequestId, holder: HostRef): OwnerLease? = leases.values.firstOrNull {
+        it.resuming == resuming && it.holder == holder && !it.renewed
+    }
+
+    /** Leases whose grant was perhaps lost, since their holders have not renewed them in time. */
+    fun silent(nowMs: Long): List<OwnerLease> = leases.values.filter {
+        !it.renewed && nowMs - it.grantedAtMs >= settings.renewIntervalMs * 2
+    }
 
     /** Takes slots back; the lease if it has ended by that. */
     fun giveBack(nowMs: Long, holder: HostRef, message: SlotMessage.Return): OwnerLease? {
@@ -81,7 +85,6 @@
         holder = holder,
         tier = word.tier,
         long = word.long,
-        requestId = null,
         grantedAtMs = nowMs,
         keepable = true,
         askedAtMs = Long.MIN_VALUE / 2,
--- a/core/scheduling/src/main/kotlin/org/hyssoprack/scheduling/Preemption.kt
+++ b/core/scheduling/src/main/kotlin/org/hyssoprack/scheduling/Preemption.kt
@@ -7,21 +7,20 @@
     private val settings: SchedulingSettings,
     private val leases: LeaseTable
 ) {
-    /** Messages to holders, so that each urgent one of [waiting] gets a slot. */
+    /** Messages to holders, so that the [urgent] requests get slots. */
     fun outputs(
         nowMs: Long,
         server: BackendServerId,
-        waiting: Collection<Registration>,
+        urgent: List<Registration>,
         limit: Int,
         longFull: () -> Boolean
     ): List<OwnerOutput> {
         giveUpUnanswered(nowMs)
         var expected = (limit - leases.lent).coerceAtLeast(0) + leases.beingFreed
-        for (request in waiting.filter { it.urgent }.sortedBy { it.tier }) {
-            if (expected-- > 0) continue
-            val victim = victim(request, longFull()) ?: continue
-            victim.keep--
-            victim.preemptAskedAtMs = NEVER_MS
+        for (registration in urgent) {
+            repeat(registration.urgent) {
+                if (expected-- <= 0) choose(registration, longFull())
+            }
         }
         val due = leases.all().filter {
             it.beingFreed > 0 && nowMs - settings.messageRepeatMs >= it.preemptAskedAtMs
@@ -29,6 +28,12 @@
         return due.map { preempt(nowMs, server, it) }
     }
 
+    private fun choose(registration: Registration, longFull: Boolean) {
+        val victim = victim(registration, longFull) ?: return
+        victim.keep--
+        victim.preemptAskedAtMs = NEVER_MS
+    }
+
     private fun victim(request: Registration, longFull: Boolean): OwnerLease? {
         val lower = leases.all().filter {
             request.tier.isAbove(it.tier) && it.keep > 0 && it.preemptTries < settings.preemptTries
--- a/core/scheduling/src/main/kotlin/org/hyssoprack/scheduling/Registration.kt
+++ b/core/scheduling/src/main/kotlin/org/hyssoprack/scheduling/Registration.kt
@@ -1,23 +1,46 @@
 package org.hyssoprack.scheduling
 
-import org.hyssoprack.common.ClientAccount
 import org.hyssoprack.common.HostRef
-import org.hyssoprack.common.RequestId
 import org.hyssoprack.common.TierRank
 
-/** A waiting request in an owner's queue. Times are on the owner's clock. */
-internal class Registration(
-    val requestId: RequestId,
-    val holder: HostRef,
-    val tier: TierRank,
-    val account: ClientAccount,
-    val share: Int,
-    val long: Boolean,
-    val resuming: Boolean,
-    val arrivedAtMs: Long
-) {
-    var askedAtMs = 0L
+/**
+ * Waiting requests of one host, account and kind in an owner's queue. Times are on the owner's
+ * clock, but for [askedAtMs].
+ */
+internal class Registration(val key: RegistrationKey, val share: Int) {
+    var count = 0
+    var urgent = 0
+    var askedAtMs = Long.MIN_VALUE
+    var arrivedAtMs = 0L
     var latestDispatchAtMs = 0L
     var lapsesAtMs = 0L
-    var urgent = false
+
+    val holder: HostRef get() = key.holder
+    val tier: TierRank get() = key.tier
+    val long: Boolean get() = key.long
+    val isResuming: Boolean get() = key.resuming != null
+    val flow: FlowKey get() = FlowKey(account = key.account, long = key.long)
+
+    /** Takes the holder's word of [message], unless a later one was heard. */
+    fun update(nowMs: Long, message: SlotMessage.Ask, termMs: Long) {
+        if (message.sentAtMs < askedAtMs) return
+        count = message.count
+        urgent = message.urgent
+        askedAtMs = message.sentAtMs
+        arrivedAtMs = nowMs - message.waitedMs
+        latestDispatchAtMs = nowMs + message.slackMs
+        lapsesAtMs = nowMs + termMs
+    }
+
+    /** Notes that one of the requests got a slot; the next one is not known, but is less urgent. */
+    fun served() {
+        count--
+        urgent = (urgent - 1).coerceAtLeast(0)
+        arrivedAtMs += SPACING_MS
+        latestDispatchAtMs += SPACING_MS
+    }
+
+    private companion object {
+        const val SPACING_MS = 50L
+    }
 }
--- a/core/scheduling/src/main/kotlin/org/hyssoprack/scheduling/RegistrationQueue.kt
+++ b/core/scheduling/src/main/kotlin/org/hyssoprack/scheduling/RegistrationQueue.kt
@@ -1,7 +1,6 @@
 package org.hyssoprack.scheduling
 
 import org.hyssoprack.common.HostRef
-import org.hyssoprack.common.RequestId
 import org.hyssoprack.common.TierRank
 import org.hyssoprack.policy.QueueRule
 
@@ -13,27 +12,29 @@
  * of slot time and not of requests.
  */
 internal class RegistrationQueue(private val rule: QueueRule) {
-    private val registrations = LinkedHashMap<RequestId, Registration>()
+    private val registrations = LinkedHashMap<RegistrationKey, Registration>()
     private val tiers = HashMap<TierRank, FairOrder>()
 
-    val size: Int get() = registrations.size
+    fun isEmpty(): Boolean = registrations.isEmpty()
 
-    fun all(): Collection<Registration> = registrations.values
+    /** Registrations that want lower tiers to make room, the highest tier first. */
+    fun urgent(): List<Registration> =
+        registrations.values.filter { it.urgent > 0 }.sortedBy { it.tier }
 
-    fun find(id: RequestId): Registration? = registrations[id]
+    /** The registration with this key, new if there is none. */
+    fun registration(key: RegistrationKey, share: Int): Registration =
+        registrations.getOrPut(key) { Registration(key, share) }
 
-    fun put(registration: Registration) {
-        registrations[registration.requestId] = registration
+    fun remove(key: RegistrationKey) {
+        registrations.remove(key)
     }
 
-    fun remove(id: RequestId): Registration? = registrations.remove(id)
-
     fun removeOf(holder: HostRef) {
         registrations.values.removeIf { it.holder == holder }
     }
 
-    fun removeLapsed(nowMs: Long) {
-        registrations.values.removeIf { it.lapsesAtMs <= nowMs }
+    fun removeEnded(nowMs: Long) {
+        registrations.values.removeIf { it.count <= 0 || it.lapsesAtMs <= nowMs }
     }
 
     /** The registration that is next among those that [eligible] accepts, or null. */
@@ -43,27 +44,29 @@
         if (rule == QueueRule.ARRIVAL) return candidates.minBy { it.arrivedAtMs }
         val tier = candidates.minOf { it.tier }
         val ofTier = candidates.filter { it.tier == tier }
-        val resuming = ofTier.filter { it.resuming }
+        val resuming = ofTier.filter { it.isResuming }
         if (resuming.isNotEmpty()) return resuming.minBy { it.arrivedAtMs }
         val order = order(tier)
-        val flow = ofTier.map { it.flow() }.distinct().minBy { order.startTag(it) }
-        return ofTier.filter { it.flow() == flow }.minBy { it.latestDispatchAtMs }
+        val flow = ofTier.map { it.flow }.distinct().minBy { order.startTag(it) }
+        return ofTier.filter { it.flow == flow }.minBy { it.latestDispatchAtMs }
     }
 
-    /** Notes that [registration] got a slot that it will hold for about [costMs]. */
+    /** Notes that a request of [registration] got a slot that it will hold for about [costMs]. */
     fun served(registration: Registration, costMs: Double) {
-        if (registration.resuming) return
-        val flow = registration.flow()
-        order(registration.tier).charge(flow, costMs / registration.share.coerceAtLeast(1))
+        registration.served()
+        if (registration.count <= 0) remove(registration.key)
+        if (registration.isResuming) return
+        val share = registration.share.coerceAtLeast(1)
+        order(registration.tier).charge(registration.flow, costMs / share)
     }
 
-    /** Number of registrations of each tier, by rank. */
+    /** Number of waiting requests of each tier, by rank. */
     fun countByTier(): List<Int> {
-        val highest = registrations.values.maxOfOrNull { it.tier.value } ?: return emptyList()
-        return (0..highest).map { rank -> registrations.values.count { it.tier.value == rank } }
+        val lowest = registrations.values.maxOfOrNull { it.tier.value } ?: return emptyList()
+        val counts = IntArray(lowest + 1)
+        registrations.values.forEach { counts[it.tier.value] += it.count }
+        return counts.toList()
     }
 
     private fun order(tier: TierRank): FairOrder = tiers.getOrPut(tier) { FairOrder() }
-
-    private fun Registration.flow(): FlowKey = FlowKey(account = account, long = long)
 }
--- /dev/null
+++ b/core/scheduling/src/main/kotlin/org/hyssoprack/scheduling/Registrations.kt
@@ -0,0 +1,98 @@
+package org.hyssoprack.scheduling
+
+import org.hyssoprack.common.BackendServerId
+
+/**
+ * Tells owners how many requests wait for their servers. Requests of one account and kind share a
+ * registration, so that a long queue costs no more messages than a short one.
+ */
+internal class Registrations(private val state: EntryState) {
+    private val settings = state.settings
+    private val places = LinkedHashMap<Place, PlaceState>()
+
+    /** Registers [entry] for [server]. */
+    fun add(nowMs: Long, entry: EntryRequest, server: FleetServer) {
+        if (!entry.asked.add(server.id)) return
+        val place = place(entry, server.id)
+        val known = places.getOrPut(place) { PlaceState() }
+        known.waiting.add(entry)
+        if (known.sentCount < ENOUGH_COUNT) send(nowMs, place, known)
+    }
+
+    /** Registers [entry] and has its owner preempt a lower tier for it. */
+    fun addUrgent(nowMs: Long, entry: EntryRequest, server: FleetServer) {
+        entry.asked.add(server.id)
+        val place = place(entry, server.id)
+        val known = places.getOrPut(place) { PlaceState() }
+        known.waiting.add(entry)
+        send(nowMs, place, known)
+    }
+
+    /** Removes a request that no longer waits. */
+    fun remove(entry: EntryRequest) {
+        entry.asked.forEach { remove(entry, it) }
+        entry.asked.clear()
+    }
+
+    private fun remove(entry: EntryRequest, server: BackendServerId) {
+        val place = place(entry, server)
+        val known = places[place] ?: return
+        known.waiting.remove(entry)
+        if (known.waiting.isNotEmpty()) return
+        places.remove(place)
+        if (known.sentCount > 0) state.sendToOwner(server, withdraw(place))
+    }
+
+    /** Notes that the owner granted a slot for [place]. */
+    fun granted(nowMs: Long, place: Place) {
+        val known = places[place] ?: return
+        known.sentCount--
+        if (known.sentCount <= 0 && known.waiting.size > 1) send(nowMs, place, known)
+    }
+
+    /** The request of [place] that has the least time left, or null. */
+    fun next(place: Place): EntryRequest? =
+        places[place]?.waiting?.minByOrNull { it.latestDispatchAtMs }
+
+    fun tick(nowMs: Long) {
+        places.forEach { (place, known) ->
+            if (nowMs - known.sentAtMs >= settings.askRepeatMs) send(nowMs, place, known)
+        }
+    }
+
+    private fun send(nowMs: Long, place: Place, known: PlaceState) {
+        known.sentCount = known.waiting.size
+        known.sentAtMs = nowMs
+        state.sendToOwner(place.server, ask(nowMs, place, known))
+    }
+
+    private fun ask(nowMs: Long, place: Place, known: PlaceState): SlotMessage.Ask {
+        val first = known.waiting.first()
+        return SlotMessage.Ask(
+            server = place.server,
+            tier = place.kind.tier,
+            account = place.account,
+            share = first.request.share,
+            long = place.kind.long,
+            count = known.waiting.size,
+            urgent = known.waiting.count { it.isUrgentAt(nowMs, place.server) },
+            slackMs = known.waiting.minOf { it.latestDispatchAtMs } - nowMs,
+            waitedMs = nowMs - first.request.arrivedAtMs,
+            sentAtMs = nowMs
+        )
+    }
+
+    private fun withdraw(place: Place): SlotMessage.Withdraw = SlotMessage.Withdraw(
+        server = place.server,
+        tier = place.kind.tier,
+        account = place.account,
+        long = place.kind.long
+    )
+
+    private fun place(entry: EntryRequest, server: BackendServerId): Place =
+        Place(server = server, kind = entry.kind, account = entry.request.account)
+
+    private companion object {
+        const val ENOUGH_COUNT = 4
+    }
+}
--- a/core/scheduling/src/main/kotlin/org/hyssoprack/scheduling/SchedulingSettings.kt
+++ b/core/scheduling/src/main/kotlin/org/hyssoprack/scheduling/SchedulingSettings.kt
@@ -13,6 +13,7 @@
  * @property preemptTries number of preemption messages after which a lease is left alone.
  * @property firstOwners number of backend servers that a new request asks for at once.
  * @property wideningDelayMs time after which a waiting request asks for twice as many servers.
+ * @property rankTermMs time after which a request that waits everywhere is estimated anew.
  * @property candidateLimit most servers that are compared for one request.
  * @property blockLimit most slots in one block.
  * @property blockIdleMs time after which an unused slot of a block is given back.
@@ -25,13 +26,14 @@
     val leaseTermMs: Long = 2_000,
     val renewIntervalMs: Long = 500,
     val digestIntervalMs: Long = 1_000,
-    val askRepeatMs: Long = 250,
-    val registrationTermMs: Long = 1_000,
+    val askRepeatMs: Long = 500,
+    val registrationTermMs: Long = 1_500,
     val verdictTermMs: Long = 600,
     val messageRepeatMs: Long = 250,
     val preemptTries: Int = 8,
     val firstOwners: Int = 2,
     val wideningDelayMs: Long = 100,
+    val rankTermMs: Long = 1_000,
     val candidateLimit: Int = 32,
     val blockLimit: Int = 8,
     val blockIdleMs: Long = 1_000,
--- a/core/scheduling/src/main/kotlin/org/hyssoprack/scheduling/ShedRound.kt
+++ b/core/scheduling/src/main/kotlin/org/hyssoprack/scheduling/ShedRound.kt
@@ -10,7 +10,7 @@
     /** Checks to send to the owners of [servers]; each owner is asked only so often. */
     fun checks(nowMs: Long, servers: List<FleetServer>, binding: Boolean): List<EntryOutput.Send> {
         val bindingMs = settings.verdictTermMs / CHECKS_PER_TERM
-        val repeatMs = if (binding) bindingMs else settings.askRepeatMs
+        val repeatMs = if (binding) bindingMs else settings.messageRepeatMs
         val due = servers.filter { nowMs - (sentAtMs[it.id] ?: NEVER_MS) >= repeatMs }
         return due.map {
             sentAtMs[it.id] = nowMs
--- a/core/scheduling/src/main/kotlin/org/hyssoprack/scheduling/SlotMessage.kt
+++ b/core/scheduling/src/main/kotlin/org/hyssoprack/scheduling/SlotMessage.kt
@@ -18,25 +18,30 @@
 @Serializable
 sealed interface SlotMessage : HostMessage {
     /**
-     * Entry to owner: registers a waiting request; repeated as long as it waits.
+     * Entry to owner: registers the waiting requests of one account and kind; repeated as long as
+     * some wait, and a later one takes the place of an earlier one.
      *
-     * @property slackMs time that is left until the latest useful dispatch, in milliseconds.
-     * @property urgent whether a running request of a lower tier shall be preempted for this one.
-     * @property resuming lease on which the request ran before it was suspended.
+     * @property count number of requests that wait for a slot of this server.
+     * @property urgent for how many of them a running request of a lower tier shall be preempted.
+     * @property slackMs time that is left until the latest useful dispatch of the first of them, in
+     *   milliseconds.
+     * @property waitedMs time since the first of them arrived, in milliseconds.
+     * @property resuming the one request that is meant, if it is suspended on this server.
      */
     @Serializable
     @SerialName("sa")
     data class Ask(
         @SerialName("s") val server: BackendServerId,
-        @SerialName("r") val requestId: RequestId,
         @SerialName("t") val tier: TierRank,
         @SerialName("a") val account: ClientAccount,
         @SerialName("h") val share: Int,
-        @SerialName("k") val slackMs: Long,
         @SerialName("l") val long: Boolean,
+        @SerialName("c") val count: Int,
+        @SerialName("u") val urgent: Int,
+        @SerialName("k") val slackMs: Long,
+        @SerialName("w") val waitedMs: Long,
         @SerialName("m") val sentAtMs: Long,
-        @SerialName("u") val urgent: Boolean = false,
-        @SerialName("e") val resuming: LeaseId? = null
+        @SerialName("r") val resuming: RequestId? = null
     ) : SlotMessage
 
     /** Entry to owner: asks for a block of slots for short requests of a tier that are expected. */
@@ -49,18 +54,22 @@
         @SerialName("m") val sentAtMs: Long
     ) : SlotMessage
 
-    /** Entry to owner: the request no longer waits here. */
+    /** Entry to owner: none of the requests of an [Ask] wait any more. */
     @Serializable
     @SerialName("sw")
     data class Withdraw(
         @SerialName("s") val server: BackendServerId,
-        @SerialName("r") val requestId: RequestId
+        @SerialName("t") val tier: TierRank,
+        @SerialName("a") val account: ClientAccount,
+        @SerialName("l") val long: Boolean,
+        @SerialName("r") val resuming: RequestId? = null
     ) : SlotMessage
 
     /**
-     * Owner to entry: lends [count] slots for [termMs] milliseconds from [askedAtMs]. [requestId]
-     * names the registered request that the slot is meant for, and is null for a block.
+     * Owner to entry: lends [count] slots for [termMs] milliseconds from [askedAtMs].
      *
+     * @property account whose registered request the slot is meant for; null for a block.
+     * @property resuming the suspended request that the slot is meant for, or null.
      * @property askedAtMs `sentAtMs` of the last ask that the owner has heard.
      * @property long whether the slot counts as one of those that long requests may hold.
      * @property keep whether the holder may keep the slots for further requests of the tier; else
@@ -75,7 +84,8 @@
         @SerialName("c") val count: Int,
         @SerialName("p") val termMs: Long,
         @SerialName("m") val askedAtMs: Long,
-        @SerialName("r") val requestId: RequestId? = null,
+        @SerialName("a") val account: ClientAccount? = null,
+        @SerialName("r") val resuming: RequestId? = null,
         @SerialName("l") val long: Boolean = false,
         @SerialName("k") val keep: Boolean = false
     ) : SlotMessage
--- a/core/scheduling/src/main/kotlin/org/hyssoprack/scheduling/SlotTable.kt
+++ b/core/scheduling/src/main/kotlin/org/hyssoprack/scheduling/SlotTable.kt
@@ -38,27 +38,29 @@
     }
 
     fun ask(nowMs: Long, from: HostRef, message: SlotMessage.Ask): List<OwnerOutput> = step(nowMs) {
-        val lease = leases.unconfirmed(message.requestId, from)
-        if (lease == null) {
-            queue.put(registration(nowMs, from, message))
-        } else {
-            lease.askedAtMs = maxOf(lease.askedAtMs, message.sentAtMs)
-            lease.lapsesAtMs = nowMs + settings.leaseTermMs
-            sendGrant(lease)
-        }
+        val lease = message.resuming?.let { leases.unconfirmed(it, from) }
+        if (lease != null) return@step sendGrant(lease)
+        val key = RegistrationKey(
+            holder = from,
+            tier = message.tier,
+            account = message.account,
+            long = message.long,
+            resuming = message.resuming
+        )
+        val registration = queue.registration(key, message.share)
+        registration.update(nowMs, message, settings.registrationTermMs)
     }
 
     fun askBlock(nowMs: Long, from: HostRef, message: SlotMessage.AskBlock): List<OwnerOutput> =
         step(nowMs) {
             val room = freeFor(nowMs, message.tier) / 2
             val count = minOf(message.count, settings.blockLimit, room)
-            if (count <= 0 || queue.size > 0) return@step
+            if (count <= 0 || !queue.isEmpty()) return@step
             val lease = OwnerLease(
                 id = leaseIds.next(),
                 holder = from,
                 tier = message.tier,
                 long = false,
-                requestId = null,
                 grantedAtMs = nowMs,
                 keepable = true,
                 askedAtMs = message.sentAtMs,
@@ -71,7 +73,14 @@
 
     fun withdraw(nowMs: Long, from: HostRef, message: SlotMessage.Withdraw): List<OwnerOutput> =
         step(nowMs) {
-            if (queue.find(message.requestId)?.holder == from) queue.remove(message.requestId)
+            val key = RegistrationKey(
+                holder = from,
+                tier = message.tier,
+                account = message.account,
+                long = message.long,
+                resuming = message.resuming
+            )
+            queue.remove(key)
         }
 
     fun giveBack(nowMs: Long, from: HostRef, message: SlotMessage.Return): List<OwnerOutput> =
@@ -113,7 +122,7 @@
         watches.removeOf(host)
     }
 
-    fun tick(nowMs: Long): List<OwnerOutput> = step(nowMs) { queue.removeLapsed(nowMs) }
+    fun tick(nowMs: Long): List<OwnerOutput> = step(nowMs) { }
 
     fun digest(nowMs: Long): ServerDigest = load.digest(nowMs, leases.lent, queue.countByTier())
 
@@ -121,55 +130,37 @@
         leases.lapse(nowMs)
         watches.removeLapsed(nowMs)
         change()
+        queue.removeEnded(nowMs)
         lendToWaiting(nowMs)
         recall(nowMs)
-        outputs += preemption.outputs(nowMs, server.id, queue.all(), load.limit, ::longFull)
+        outputs += preemption.outputs(nowMs, server.id, queue.urgent(), load.limit, ::longFull)
         val sent = outputs.toList()
         outputs.clear()
         return sent
     }
 
-    private fun registration(nowMs: Long, from: HostRef, message: SlotMessage.Ask): Registration {
-        val known = queue.find(message.requestId)?.takeIf { it.holder == from }
-        val registration = known ?: Registration(
-            requestId = message.requestId,
-            holder = from,
-            tier = message.tier,
-            account = message.account,
-            share = message.share,
-            long = message.long,
-            resuming = message.resuming != null,
-            arrivedAtMs = nowMs
-        )
-        if (message.sentAtMs >= registration.askedAtMs) registration.urgent = message.urgent
-        registration.askedAtMs = maxOf(registration.askedAtMs, message.sentAtMs)
-        registration.latestDispatchAtMs = nowMs + message.slackMs
-        registration.lapsesAtMs = nowMs + settings.registrationTermMs
-        return registration
-    }
-
     private fun lendToWaiting(nowMs: Long) {
-        while (true) {
+        while (leases.lent < load.limit) {
             val registration = queue.next { canLend(nowMs, it) } ?: return
             lend(nowMs, registration)
         }
     }
 
     private fun canLend(nowMs: Long, registration: Registration): Boolean {
-        if (server.leaving && !registration.resuming) return false
+        if (server.leaving && !registration.isResuming) return false
         if (freeFor(nowMs, registration.tier) <= 0) return false
         return !registration.long || !longFull()
     }
 
     private fun lend(nowMs: Long, registration: Registration) {
-        queue.remove(registration.requestId)
         queue.served(registration, load.holdMs(registration.long))
         val lease = OwnerLease(
             id = leaseIds.next(),
             holder = registration.holder,
             tier = registration.tier,
             long = registration.long,
-            requestId = registration.requestId,
+            account = registration.key.account,
+            resuming = registration.key.resuming,
             grantedAtMs = nowMs,
             keepable = isPlentiful(),
             askedAtMs = registration.askedAtMs,
@@ -188,7 +179,8 @@
             count = lease.held,
             termMs = settings.leaseTermMs,
             askedAtMs = lease.askedAtMs,
-            requestId = lease.requestId,
+            account = lease.account,
+            resuming = lease.resuming,
             long = lease.long,
             keep = lease.keepable
         )
@@ -207,7 +199,7 @@
     private fun longFull(): Boolean = leases.longLent >= shares.longCap(load.limit)
 
     private fun isPlentiful(): Boolean {
-        if (queue.size > 0 || server.leaving) return false
+        if (!queue.isEmpty() || server.leaving) return false
         return leases.lent < load.limit * PLENTIFUL_SHARE
     }
 
@@ -222,7 +214,7 @@
     private fun recall(nowMs: Long) {
         val wanted = leases.all().filter { it.keepable && isWantedBack(it) }
         recallBelow = null
-        val due = (leases.inDoubt() + wanted).filter {
+        val due = (leases.inDoubt() + leases.silent(nowMs) + wanted).filter {
             nowMs - settings.messageRepeatMs >= it.recallAskedAtMs
         }
         due.forEach { it.recallAskedAtMs = nowMs }
@@ -232,11 +224,11 @@
     }
 
     private fun isWantedBack(lease: OwnerLease): Boolean {
-        if (queue.size > 0 || server.leaving) return true
+        if (!queue.isEmpty() || server.leaving) return true
         return recallBelow?.isAbove(lease.tier) ?: false
     }
 
     private companion object {
-        const val PLENTIFUL_SHARE = 0.7
+        const val PLENTIFUL_SHARE = 0.9
     }
 }
--- /dev/null
+++ b/core/scheduling/src/test/kotlin/org/hyssoprack/scheduling/LoadTrial.kt
@@ -0,0 +1,163 @@
+package org.hyssoprack.scheduling
+
+import java.util.Random
+import kotlin.math.ln
+import org.hyssoprack.common.PoolName
+import org.hyssoprack.policy.Pool
+import org.hyssoprack.policy.QueueRule
+import org.hyssoprack.policy.RoutingRule
+
+/** Plays load on a [Model] and prints goodput by tier; run its main by hand to compare rules. */
+class LoadTrial(
+    private val name: String,
+    private val classes: List<LoadClass>,
+    private val pool: Pool,
+    private val speed: (Int, Int, Long) -> Double = { _, running, _ -> batchSpeed(running) },
+    private val canSuspend: Boolean = true
+) {
+    fun run(seed: Long = 1, durationMs: Long = 60_000) {
+        val settings = ModelSettings(
+            hosts = HOSTS,
+            servers = SERVERS,
+            slots = SLOTS,
+            pool = pool,
+            maxDelayMs = 2,
+            speed = speed,
+            canSuspend = canSuspend
+        )
+        val model = Model(seed, settings)
+        val random = Random(seed)
+        val startMs = model.nowMs
+        val next = classes.map { startMs + gapMs(random, it) }.toMutableList()
+        while (model.nowMs < startMs + durationMs) {
+            model.run(Model.STEP_MS)
+            classes.forEachIndexed { index, load ->
+                while (next[index] <= model.nowMs) {
+                    submit(model, random, load)
+                    next[index] += gapMs(random, load)
+                }
+            }
+        }
+        val sent = model.sent
+        model.run(DRAIN_MS)
+        report(model, durationMs, sent)
+    }
+
+    private fun gapMs(random: Random, load: LoadClass): Double =
+        -ln(1 - random.nextDouble()) * MS_PER_S / load.perSecond
+
+    private fun submit(model: Model, random: Random, load: LoadClass) {
+        model.submit(
+            host = random.nextInt(HOSTS),
+            tier = load.tier,
+            runsMs = load.runsMs,
+            deadlineMs = load.deadlineMs,
+            account = "a${random.nextInt(ACCOUNTS)}",
+            promptTokens = load.promptTokens,
+            completionTokens = load.completionTokens,
+            prefillMs = load.prefillMs
+        )
+    }
+
+    private fun report(model: Model, durationMs: Long, sent: Int) {
+        println(
+            "$name: ${sent * 1_000L / durationMs / HOSTS} messages/s a host, ${model.faults.size} faults"
+        )
+        var servedMs = 0L
+        for (tier in classes.map { it.tier }.distinct().sorted()) {
+            val all = model.requests.values.filter { it.request.tier.value == tier }
+            val good = all.filter {
+                "done" in it.outcomes && it.endedAtMs <= it.request.deadlineAtMs
+            }
+            servedMs += good.sumOf { it.runsMs }
+            val firsts = good.mapNotNull {
+                it.firstTokenAtMs?.minus(it.request.arrivedAtMs)
+            }.sorted()
+            val other = all.flatMap { it.outcomes }.groupingBy { it }.eachCount()
+            val wasted = (all - good.toSet()).filter { it.dispatches > 0 }.sumOf { it.prefillMs }
+            val prefill = all.filter { it.dispatches > 0 }.sumOf { it.prefillMs }
+            println(
+                "  tier $tier: good ${good.size}/${all.size} first p50 ${firsts.at(0.5)} p99 " +
+                    "${firsts.at(0.99)} ms wasted prefill $wasted/$prefill " +
+                    "preempted ${all.sumOf { it.preemptions }} $other"
+            )
+        }
+        val capacityMs = durationMs * SERVERS * SLOTS
+        println("  served ${servedMs * 100 / capacityMs}% of the slots' time")
+        model.faults.take(2).forEach { println("  $it") }
+    }
+
+    private fun List<Long>.at(share: Double): Long? = getOrNull((size * share).toInt())
+
+    companion object {
+        const val HOSTS = 9
+        const val SERVERS = 12
+        const val SLOTS = 8
+        const val ACCOUNTS = 5
+        const val DRAIN_MS = 25_000L
+        const val MS_PER_S = 1_000
+
+        fun batchSpeed(running: Int): Double = if (running <=
+            SLOTS
+        ) {
+            1.0
+        } else {
+            SLOTS.toDouble() / running
+        }
+    }
+}
+
+private val LETTERS = LoadClass(
+    tier = 0,
+    perSecond = 4.0,
+    runsMs = 10_000,
+    prefillMs = 400,
+    promptTokens = 2_000,
+    completionTokens = 500,
+    deadlineMs = 30_000
+)
+private val QUESTIONS = LoadClass(
+    tier = 1,
+    perSecond = 60.0,
+    runsMs = 400,
+    prefillMs = 60,
+    promptTokens = 100,
+    completionTokens = 17,
+    deadlineMs = 3_000
+)
+private val TAGS = LoadClass(
+    tier = 2,
+    perSecond = 60.0,
+    runsMs = 300,
+    prefillMs = 80,
+    promptTokens = 150,
+    completionTokens = 11,
+    deadlineMs = 5_000
+)
+
+fun main() {
+    val pool = Pool(PoolName("p"))
+    val mix = listOf(LETTERS, QUESTIONS, TAGS)
+    val double = listOf(
+        LETTERS.copy(perSecond = 8.0),
+        QUESTIONS.copy(perSecond = 120.0),
+        TAGS.copy(perSecond = 200.0)
+    )
+    LoadTrial("letters alone", listOf(LETTERS.copy(perSecond = 8.0)), pool).run()
+    LoadTrial("steady", mix, pool).run()
+    LoadTrial("double", double, pool).run()
+    LoadTrial("double, cancelling", double, pool, canSuspend = false).run()
+    LoadTrial("double, by arrival", double, pool.copy(queueing = QueueRule.ARRIVAL)).run()
+    LoadTrial("steady, round robin", mix, pool.copy(routing = RoutingRule.ROUND_ROBIN)).run()
+    val straggler = { server: Int, running: Int, nowMs: Long ->
+        val slow = if (server == 0 && nowMs in 30_000..60_000) 0.2 else 1.0
+        LoadTrial.batchSpeed(running) * slow
+    }
+    LoadTrial("steady, straggler", mix, pool, straggler).run()
+    LoadTrial(
+        "steady, straggler, round robin",
+        mix,
+        pool.copy(routing = RoutingRule.ROUND_ROBIN),
+        straggler
+    ).run()
+}
--- a/core/scheduling/src/test/kotlin/org/hyssoprack/scheduling/Model.kt
+++ b/core/scheduling/src/test/kotlin/org/hyssoprack/scheduling/Model.kt
@@ -24,7 +24,12 @@
     private val leaving = HashSet<Int>()
     private val cutOff = HashSet<HostId>()
     private var counter = 0
+    private val active = LinkedHashMap<RequestId, ModelRequest>()
     val requests = LinkedHashMap<RequestId, ModelRequest>()
+
+    /** Messages sent between different hosts. */
+    var sent = 0
+        private set
     val faults = ArrayList<String>()
     var faulty = true
     var nowMs = 10_000L
@@ -43,7 +48,10 @@
         deadlineMs: Long = 3_000,
         account: String = "a",
         once: Boolean = false,
-        long: Boolean = false
+        long: Boolean = false,
+        promptTokens: Int = 0,
+        completionTokens: Int = if (long) SchedulingSettings().longCompletionTokens else 0,
+        prefillMs: Long = 0
     ): RequestId? {
         val target = hosts[host]
         if (!target.alive) return null
@@ -55,10 +63,11 @@
             pool = settings.pool.name,
             arrivedAtMs = nowMs,
             deadlineAtMs = nowMs + deadlineMs,
-            completionTokens = if (long) scheduling.longCompletionTokens else 0,
+            promptTokens = promptTokens,
+            completionTokens = completionTokens,
             once = once
         )
-        requests[request.id] = ModelRequest(request, host, runsMs)
+        requests[request.id] = ModelRequest(request, host, runsMs, prefillMs)
         apply(target, target.entry.submit(nowMs, request))
         return request.id
     }
@@ -126,6 +135,7 @@
         requests.values.filter { it.host == host && it.outcomes.isEmpty() }.forEach {
             it.outcomes.add("host-died")
             it.runningOn = null
+            active.remove(it.request.id)
         }
         val heir = hosts.indexOfFirst { it.alive }
         owners.indices.filter { owners[it] == host }.forEach { owners[it] = heir }
@@ -145,16 +155,14 @@
         while (nowMs < endMs) step()
     }
 
-    fun running(): List<ModelRequest> = requests.values.filter { it.runningOn != null }
+    fun running(): List<ModelRequest> = active.values.filter { it.runningOn != null }
 
     private fun step() {
         nowMs += STEP_MS
         val due = packets.filter { it.dueMs <= nowMs }.shuffled(random)
         packets.removeAll(due.toSet())
         due.forEach { deliver(it) }
-        requests.values.filter {
-            it.runningOn != null || it.cancelAtMs != null
-        }.forEach { work(it) }
+        active.values.toList().forEach { work(it) }
         if (nowMs % EntryScheduler.TICK_MS == 0L) hosts.filter { it.alive }.forEach { tick(it) }
     }
 
@@ -179,17 +187,32 @@
             known.runningOn = null
             return apply(host, host.entry.suspended(nowMs, known.request.id))
         }
-        if (known.runningOn == null) return
-        known.leftMs -= STEP_MS
+        val server = known.runningOn ?: return
+        known.leftMs -= STEP_MS * speed(server)
+        val hasFirstToken = known.leftMs <= known.runsMs - known.prefillMs
+        if (hasFirstToken && known.firstTokenAtMs == null) firstToken(host, known)
         if (known.leftMs <= 0) end(host, known, "done")
     }
 
+    private fun firstToken(host: Host, known: ModelRequest) {
+        known.firstTokenAtMs = nowMs
+        val elapsedMs = nowMs - known.dispatchedAtMs
+        apply(host, host.entry.firstToken(nowMs, known.request.id, elapsedMs))
+    }
+
+    private fun speed(server: FleetServer): Double {
+        val index = server.id.value.drop(1).toInt()
+        return settings.speed(index, active.values.count { it.runningOn?.id == server.id }, nowMs)
+    }
+
     private fun end(host: Host, known: ModelRequest, outcome: String) {
         known.runningOn = null
         known.cancelAtMs = null
         known.suspendAtMs = null
         known.outcomes.add(outcome)
-        apply(host, host.entry.finished(nowMs, known.request.id, FinishReport(null, null)))
+        known.endedAtMs = nowMs
+        active.remove(known.request.id)
+        apply(host, host.entry.finished(nowMs, known.request.id, known.report(nowMs)))
     }
 
     private fun apply(host: Host, outputs: List<Any>) {
@@ -216,6 +239,8 @@
     private fun dispatched(output: EntryOutput.Dispatch) {
         val known = requests.getValue(output.requestId)
         known.dispatches++
+        active[known.request.id] = known
+        known.dispatchedAtMs = nowMs
         if (known.outcomes.isNotEmpty()) faults.add("dispatch of an ended ${known.request.id}")
         known.runningOn = fleet().servers[output.server]
     }
@@ -247,6 +272,7 @@
     }
 
     private fun send(from: Host, to: HostId, message: SlotMessage) {
+        if (to != from.ref.host) sent++
         val copies = if (faulty && chance(settings.doublePercent)) 2 else 1
         repeat(copies) {
             if (faulty && chance(settings.dropPercent)) return@repeat
--- a/core/scheduling/src/test/kotlin/org/hyssoprack/scheduling/ModelRequest.kt
+++ b/core/scheduling/src/test/kotlin/org/hyssoprack/scheduling/ModelRequest.kt
@@ -1,12 +1,38 @@
 package org.hyssoprack.scheduling
 
 /** What a [Model] knows of one request. [runsMs] is the time that it needs on a server. */
-class ModelRequest(val request: WaitingRequest, val host: Int, val runsMs: Long) {
+class ModelRequest(
+    val request: WaitingRequest,
+    val host: Int,
+    val runsMs: Long,
+    val prefillMs: Long = 0
+) {
     val outcomes = ArrayList<String>()
     var dispatches = 0
     var preemptions = 0
     var runningOn: FleetServer? = null
-    var leftMs = runsMs
+    var leftMs = runsMs.toDouble()
     var cancelAtMs: Long? = null
     var suspendAtMs: Long? = null
+    var dispatchedAtMs = 0L
+    var firstTokenAtMs: Long? = null
+    var endedAtMs = 0L
+
+    fun report(nowMs: Long): FinishReport {
+        val firstAtMs = firstTokenAtMs
+        val tokens = request.completionTokens
+        val tokenMs = if (firstAtMs == null ||
+            tokens < 2
+        ) {
+            null
+        } else {
+            (nowMs - firstAtMs) / tokens.toDouble()
+        }
+        return FinishReport(
+            firstTokenMs = firstAtMs?.minus(dispatchedAtMs),
+            tokenMs = tokenMs,
+            promptTokens = request.promptTokens,
+            completionTokens = tokens
+        )
+    }
 }
--- a/core/scheduling/src/test/kotlin/org/hyssoprack/scheduling/ModelSettings.kt
+++ b/core/scheduling/src/test/kotlin/org/hyssoprack/scheduling/ModelSettings.kt
@@ -2,7 +2,11 @@
 
 import org.hyssoprack.policy.Pool
 
-/** Size and faults of a [Model]; probabilities are per message, in percent. */
+/**
+ * Size and faults of a [Model]; probabilities are per message, in percent.
+ *
+ * @property speed part of its full speed at which a server works on each of its running requests.
+ */
 data class ModelSettings(
     val hosts: Int = 3,
     val servers: Int = 3,
@@ -12,5 +16,6 @@
     val doublePercent: Int = 0,
     val maxDelayMs: Int = 2,
     val cancelMs: Long = 20,
-    val canSuspend: Boolean = true
+    val canSuspend: Boolean = true,
+    val speed: (server: Int, running: Int, nowMs: Long) -> Double = { _, _, _ -> 1.0 }
 )
