--- a/core/membership/src/main/kotlin/org/hyssoprack/membership/DirectoryTask.kt
+++ b/core/membership/src/main/kotlin/org/hyssoprack/membership/DirectoryTask.kt
@@ -16,14 +16,19 @@
     private val log: EventLog,
     private val onSeeds: suspend (List<NetworkAddress>) -> Unit
 ) {
-    /** Lists the seeds and registers this run; tries again until both are done. */
+    /**
+     * Registers this run and lists the seeds; tries again until both are done. Of two hosts that
+     * start at the same moment, at least the one that registers last finds the other.
+     */
     suspend fun join() {
-        untilDone("member-list-failed") {
-            directory.list().map { members -> onSeeds(members.map { it.linkAddress }) }
-        }
         untilDone("member-register-failed") { directory.register(self) }
+        untilDone("member-list-failed") { findSeeds() }
     }
 
+    /** Lists the seeds once. */
+    suspend fun findSeeds(): Either<Failure, Unit> =
+        directory.list().map { members -> onSeeds(members.map { it.linkAddress }) }
+
     /** Removes the row of [dead]; gives up after the first failure. */
     suspend fun remove(dead: HostRef) {
         directory.remove(dead).onLeft {
--- a/core/membership/src/main/kotlin/org/hyssoprack/membership/MemberBeliefs.kt
+++ b/core/membership/src/main/kotlin/org/hyssoprack/membership/MemberBeliefs.kt
@@ -38,14 +38,14 @@
     /** Spreads this host's own digest. */
     fun spreadOwn() = news.add(own.digest())
 
-    /** Takes over what a peer says of some host. */
-    fun learn(nowMs: Long, digest: MemberDigest): List<MemberOutput> {
+    /** Takes over what a peer says of some host; [spread] tells whether to pass it on. */
+    fun learn(nowMs: Long, digest: MemberDigest, spread: Boolean = true): List<MemberOutput> {
         if (digest.host == ownHost) {
             if (own.learn(digest)) spreadOwn()
             return emptyList()
         }
         if (digest.state == MemberState.DEAD) return learnOfDeath(nowMs, digest)
-        return adopt(nowMs, digest)
+        return adopt(nowMs, digest, spread)
     }
 
     /** Takes over what [from] says of itself. */
@@ -108,11 +108,15 @@
     private fun isFresh(suspected: MemberRecord, nowMs: Long): Boolean =
         nowMs - suspected.changedAtMs < settings.suspicionMs(memberCount) / 2
 
-    private fun adopt(nowMs: Long, digest: MemberDigest): List<MemberOutput> {
+    private fun adopt(
+        nowMs: Long,
+        digest: MemberDigest,
+        spread: Boolean = true
+    ): List<MemberOutput> {
         val old = records[digest.host]
         val record = records.merge(digest, nowMs) ?: return emptyList()
         val isNewRun = old?.digest?.incarnation != digest.incarnation
-        news.add(if (isNewRun) record.fullDigest() else record.digest)
+        if (spread) news.add(if (isNewRun) record.fullDigest() else record.digest)
         val address = record.profile.linkAddress
         return listOf(MemberOutput.Changed(record.digest.ref, record.digest.state, address))
     }
--- a/core/membership/src/main/kotlin/org/hyssoprack/membership/MemberTable.kt
+++ b/core/membership/src/main/kotlin/org/hyssoprack/membership/MemberTable.kt
@@ -54,7 +54,8 @@
     fun receive(nowMs: Long, from: HostRef, message: MemberMessage): List<MemberOutput> {
         if (from.host == self.ref.host) return emptyList()
         val out = mutableListOf<MemberOutput>()
-        message.digests.forEach { out += beliefs.learn(nowMs, it) }
+        val isNews = message !is MemberMessage.Sync
+        message.digests.forEach { out += beliefs.learn(nowMs, it, spread = isNews) }
         out += beliefs.hear(nowMs, from, message.status)
         if (!beliefs.knows(from)) out += askUnknown(nowMs, from)
         out += answer(nowMs, from, message)
--- a/core/membership/src/main/kotlin/org/hyssoprack/membership/SwimMembership.kt
+++ b/core/membership/src/main/kotlin/org/hyssoprack/membership/SwimMembership.kt
@@ -10,6 +10,7 @@
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.selects.onTimeout
 import kotlinx.coroutines.selects.select
+import kotlinx.coroutines.withTimeoutOrNull
 import org.hyssoprack.common.BackendServerId
 import org.hyssoprack.common.BundleVersion
 import org.hyssoprack.common.Clock
@@ -73,7 +74,11 @@
 
     private suspend fun keepRows(rows: DirectoryTask) {
         rows.join()
-        for (ref in forgotten) rows.remove(ref)
+        while (true) {
+            val dead = withTimeoutOrNull(ALONE_CHECK_INTERVAL_MS) { forgotten.receive() }
+            if (dead != null) rows.remove(dead)
+            if (current.value.members.size == 1) rows.findSeeds()
+        }
     }
 
     private suspend fun run() {
@@ -160,5 +165,6 @@
         const val TICK_MS = 50L
         const val COMMAND_LIMIT = 4_096
         const val SEED_CHECK_INTERVAL_MS = 10_000L
+        const val ALONE_CHECK_INTERVAL_MS = 5_000L
     }
 }
--- a/core/membership/src/test/kotlin/org/hyssoprack/membership/FakeTable.kt
+++ b/core/membership/src/test/kotlin/org/hyssoprack/membership/FakeTable.kt
@@ -3,6 +3,8 @@
 import arrow.core.Either
 import arrow.core.left
 import arrow.core.right
+import java.util.concurrent.ConcurrentSkipListMap
+import kotlinx.coroutines.delay
 import org.hyssoprack.common.Failure
 import org.hyssoprack.common.ResultCode
 import org.hyssoprack.platform.Row
@@ -12,10 +14,11 @@
 
 /** Table service in memory whose faults are set by the test. */
 internal class FakeTable : TableService {
-    val rows = sortedMapOf<String, Row>()
+    val rows = ConcurrentSkipListMap<String, Row>()
     var isDown = false
     var losesReply = false
     var writes = 0
+    var writeDelayMs = 0L
 
     private val failure = Failure(ResultCode.STORE_UNAVAILABLE, "down")
 
@@ -26,6 +29,7 @@
         if (isDown) failure.left() else rows.values.toList().right()
 
     override suspend fun compareAndSet(key: RowKey, expected: Long, value: String): WriteResult {
+        delay(writeDelayMs)
         if (isDown) return WriteResult.Refused(failure)
         val current = rows[key.key]
         if ((current?.revision ?: 0) != expected) return WriteResult.Conflict(current)
--- a/core/membership/src/test/kotlin/org/hyssoprack/membership/SwimMembershipTest.kt
+++ b/core/membership/src/test/kotlin/org/hyssoprack/membership/SwimMembershipTest.kt
@@ -37,6 +37,13 @@
         assertThat(table.writes).isEqualTo(3)
     }
 
+    @Example
+    fun `hosts that start at the same moment find each other`() {
+        table.writeDelayMs = 300
+        val hosts = List(3) { start(it, seeds = emptyList()) }
+        assertThat(hosts.all { reaches(it) { view -> view.live().size == 3 } }).isTrue()
+    }
+
     @Example
     fun `hosts join through the settings while the table service is down`() {
         table.isDown = true
