--- /dev/null
+++ b/bench/src/main/kotlin/org/hyssoprack/bench/capacity/MemberCapacity.kt
@@ -0,0 +1,172 @@
+package org.hyssoprack.bench.capacity
+
+import kotlin.random.Random
+import org.hyssoprack.membership.MemberMessage
+import org.hyssoprack.membership.MemberState
+import org.hyssoprack.membership.MemberStatus
+import org.hyssoprack.membership.MemberTable
+import org.hyssoprack.membership.MembershipSettings
+
+/** Measures what members cost: probes, news, comparisons, joins, losses and memory. */
+internal class MemberCapacity(private val sizes: List<Int>) {
+    private val slopes = mutableListOf<Slope>()
+    private val figures = mutableListOf<Figure>()
+
+    fun measure(): CapacityReport {
+        MemberSimulation(WARM_UP_HOSTS).run(WARM_UP_MS)
+        steady()
+        restarts()
+        losses()
+        memory()
+        return CapacityReport(slopes, figures)
+    }
+
+    private fun steady() {
+        val bytes = mutableListOf<Point>()
+        val messages = mutableListOf<Point>()
+        val processor = mutableListOf<Point>()
+        for (size in sizes) {
+            val simulation = MemberSimulation(size)
+            simulation.run(SETTLE_MS)
+            simulation.resetCost()
+            simulation.run(RUN_MS)
+            val hostSeconds = size * RUN_MS / MS_PER_SECOND
+            bytes += Point(size.toDouble(), simulation.traffic.bytes / hostSeconds)
+            messages += Point(size.toDouble(), simulation.traffic.messages / hostSeconds)
+            processor += Point(size.toDouble(), simulation.tableNanos / hostSeconds / NANOS_PER_US)
+        }
+        slopes += Slope.of("members, steady: sent", "members", "B/s per host", bytes)
+        slopes += Slope.of("members, steady: messages", "members", "1/s per host", messages)
+        slopes += Slope.of("members, steady: table", "members", "CPU us/s per host", processor)
+    }
+
+    private fun restarts() {
+        val spread = mutableListOf<Point>()
+        val bytes = mutableListOf<Point>()
+        for (size in sizes) {
+            val quiet = quietBytes(size)
+            val simulation = MemberSimulation(size)
+            simulation.run(SETTLE_MS)
+            simulation.resetCost()
+            simulation.restart(0)
+            val tookMs = simulation.runUntil(RUN_MS) {
+                simulation.allSee(0 until size, listOf(0), MemberState.ALIVE)
+            } ?: error("host 0 of $size is not seen by all")
+            simulation.run(RUN_MS - tookMs)
+            spread += Point(size.toDouble(), tookMs.toDouble())
+            bytes += Point(size.toDouble(), (simulation.traffic.bytes - quiet) / size)
+        }
+        slopes += Slope.of("restart: until all know", "members", "ms", spread)
+        slopes += Slope.of("restart: extra bytes", "members", "B per host and restart", bytes)
+    }
+
+    private fun quietBytes(size: Int): Double {
+        val simulation = MemberSimulation(size)
+        simulation.run(SETTLE_MS)
+        simulation.resetCost()
+        simulation.run(RUN_MS)
+        return simulation.traffic.bytes.toDouble()
+    }
+
+    private fun losses() {
+        val one = sizes.map { Point(it.toDouble(), lossMs(it, lost = 1).toDouble()) }
+        slopes += Slope.of("one host dies: until all know", "members", "ms", one)
+        smallLosses()
+        val largest = sizes.last()
+        domainLoss(largest)
+        partition(largest)
+    }
+
+    private fun smallLosses() {
+        val times = (1..SMALL_RUNS).map {
+            lossMs(SMALL_HOSTS, lost = 1, seed = it.toLong())
+        }.sorted()
+        val name = "one of $SMALL_HOSTS hosts dies: until all know"
+        figures += Figure("$name, median", "ms", times[times.size / 2].toDouble())
+        figures += Figure("$name, longest of $SMALL_RUNS", "ms", times.last().toDouble())
+    }
+
+    private fun lossMs(size: Int, lost: Int, seed: Long = 1): Long {
+        val simulation = MemberSimulation(size, seed)
+        simulation.run(SETTLE_MS)
+        simulation.kill(0 until lost)
+        return simulation.runUntil(LONG_MS) {
+            simulation.allSee(lost until size, 0 until lost, MemberState.DEAD)
+        } ?: error("the loss of $lost of $size hosts is not seen by all")
+    }
+
+    private fun domainLoss(size: Int) {
+        val lost = size / DOMAINS
+        val simulation = MemberSimulation(size)
+        simulation.run(SETTLE_MS)
+        simulation.resetCost()
+        simulation.kill(0 until lost)
+        val tookMs = simulation.runUntil(LONG_MS) {
+            simulation.allSee(lost until size, 0 until lost, MemberState.DEAD)
+        } ?: error("the loss of $lost of $size hosts is not seen by all")
+        val rate = simulation.traffic.bytes / (size - lost) / (tookMs / MS_PER_SECOND)
+        figures += Figure("$lost of $size hosts die: until all know", "ms", tookMs.toDouble())
+        figures += Figure("$lost of $size hosts die: sent meanwhile", "B/s per host", rate)
+    }
+
+    private fun partition(size: Int) {
+        val apart = 0 until size / REGIONS
+        val simulation = MemberSimulation(size)
+        simulation.run(SETTLE_MS)
+        simulation.cutOff(apart)
+        simulation.run(APART_MS)
+        figures += Figure("region apart: reachable, small side", "share", simulation.reachable(0))
+        figures += Figure(
+            "region apart: reachable, large side",
+            "share",
+            simulation.reachable(size - 1)
+        )
+        simulation.resetCost()
+        simulation.cutOff(emptyList())
+        val tookMs = simulation.runUntil(LONG_MS) {
+            simulation.allSee(0 until size, 0 until size, MemberState.ALIVE)
+        } ?: error("$size hosts do not find each other after a partition")
+        val rate = simulation.traffic.bytes / size / (tookMs / MS_PER_SECOND)
+        figures += Figure("regions together again: until all know", "ms", tookMs.toDouble())
+        figures += Figure("regions together again: sent meanwhile", "B/s per host", rate)
+    }
+
+    private fun memory() {
+        val points = sizes.map { Point(it.toDouble(), memoryOf(it)) }
+        slopes += Slope.of("members: memory of table and view", "members", "B per host", points)
+    }
+
+    private fun memoryOf(size: Int): Double {
+        val before = Meter.heapBytes()
+        val tables = List(TABLES) { tableOf(size) }
+        val after = Meter.heapBytes()
+        check(tables.all { it.view().members.size == size })
+        return (after - before).toDouble() / TABLES
+    }
+
+    // Decoded messages share nothing, so each table gets digests of its own.
+    private fun tableOf(size: Int): MemberTable {
+        val members = (0 until size).map { MemberSimulation.member(it, incarnation = 1) }
+        val table = MemberTable(members[0], MembershipSettings(), Random(1), startMs = 0)
+        val digests = members.map { MemberSimulation.digestOf(it) }
+        table.receive(0, members[1].ref, MemberMessage.Sync(MemberStatus(), digests))
+        table.view()
+        return table
+    }
+
+    private companion object {
+        const val WARM_UP_HOSTS = 60
+        const val WARM_UP_MS = 20_000L
+        const val SETTLE_MS = 5_000L
+        const val RUN_MS = 20_000L
+        const val LONG_MS = 120_000L
+        const val APART_MS = 60_000L
+        const val MS_PER_SECOND = 1_000.0
+        const val NANOS_PER_US = 1_000.0
+        const val DOMAINS = 10
+        const val REGIONS = 3
+        const val TABLES = 8
+        const val SMALL_HOSTS = 9
+        const val SMALL_RUNS = 100
+    }
+}
--- /dev/null
+++ b/bench/src/main/kotlin/org/hyssoprack/bench/capacity/Slope.kt
@@ -0,0 +1,25 @@
+package org.hyssoprack.bench.capacity
+
+import kotlinx.serialization.Serializable
+
+/**
+ * How a cost grows with a size.
+ *
+ * @property name what was measured.
+ * @property size what the cost grows with.
+ * @property unit unit of the cost.
+ */
+@Serializable
+data class Slope(
+    val name: String,
+    val size: String,
+    val unit: String,
+    val points: List<Point>,
+    val fit: LinearFit
+) {
+    companion object {
+        /** The slope through [points]. */
+        fun of(name: String, size: String, unit: String, points: List<Point>): Slope =
+            Slope(name, size, unit, points, LinearFit.of(points))
+    }
+}
--- /dev/null
+++ b/bench/src/main/kotlin/org/hyssoprack/bench/capacity/Traffic.kt
@@ -0,0 +1,27 @@
+package org.hyssoprack.bench.capacity
+
+/** Messages and bytes that were sent, by type. */
+internal class Traffic {
+    private val counts = HashMap<String, Long>()
+    private val sums = HashMap<String, Long>()
+
+    val messages: Long get() = counts.values.sum()
+    val bytes: Long get() = sums.values.sum()
+
+    fun add(type: String, size: Int) {
+        counts.merge(type, 1, Long::plus)
+        sums.merge(type, size.toLong(), Long::plus)
+    }
+
+    fun bytesOf(type: String): Long = sums[type] ?: 0
+
+    /** All types that were sent. */
+    fun types(): Set<String> = sums.keys.toSet()
+
+    fun countOf(type: String): Long = counts[type] ?: 0
+
+    fun clear() {
+        counts.clear()
+        sums.clear()
+    }
+}
