--- a/bench/src/main/kotlin/org/hyssoprack/bench/capacity/MemberCapacity.kt
+++ b/bench/src/main/kotlin/org/hyssoprack/bench/capacity/MemberCapacity.kt
@@ -1,11 +1,13 @@
 package org.hyssoprack.bench.capacity
 
 import kotlin.random.Random
+import org.hyssoprack.link.tcp.MessageSizes
 import org.hyssoprack.membership.MemberMessage
 import org.hyssoprack.membership.MemberState
 import org.hyssoprack.membership.MemberStatus
 import org.hyssoprack.membership.MemberTable
 import org.hyssoprack.membership.MembershipSettings
+import org.hyssoprack.membership.memberMessages
 
 /** Measures what members cost: probes, news, comparisons, joins, losses and memory. */
 internal class MemberCapacity(private val sizes: List<Int>) {
@@ -17,6 +19,7 @@
         steady()
         restarts()
         losses()
+        comparison()
         memory()
         return CapacityReport(slopes, figures)
     }
@@ -131,6 +134,21 @@
         figures += Figure("regions together again: sent meanwhile", "B/s per host", rate)
     }
 
+    private fun comparison() {
+        val whole = sizes.map { Point(it.toDouble(), wholeListBytes(it)) }
+        slopes += Slope.of("whole list sent", "members", "B", whole)
+        val buckets = sizes.map { Point(it.toDouble(), ListComparison(it).bytes()) }
+        slopes += Slope.of("lists compared by buckets, one differs", "members", "B", buckets)
+    }
+
+    private fun wholeListBytes(size: Int): Double {
+        val digests = (0 until size).map {
+            MemberSimulation.digestOf(MemberSimulation.member(it, incarnation = 1))
+        }
+        val message = MemberMessage.Sync(MemberStatus(), digests)
+        return MessageSizes(memberMessages).bytes(message)?.toDouble() ?: error("no size")
+    }
+
     private fun memory() {
         val points = sizes.map { Point(it.toDouble(), memoryOf(it)) }
         slopes += Slope.of("members: memory of table and view", "members", "B per host", points)
--- a/bench/src/main/kotlin/org/hyssoprack/bench/capacity/Part.kt
+++ b/bench/src/main/kotlin/org/hyssoprack/bench/capacity/Part.kt
@@ -14,6 +14,9 @@
     SLOTS("slots") {
         override fun measure(largest: Int) = SlotCapacity().measure()
     },
+    POLLS("polls") {
+        override fun measure(largest: Int) = PollCapacity().measure()
+    },
     BUNDLES("bundles") {
         override fun measure(largest: Int) = BundleCapacity().measure()
     }
