--- a/core/scheduling/src/main/kotlin/org/hyssoprack/scheduling/DefaultOwnerScheduler.kt
+++ b/core/scheduling/src/main/kotlin/org/hyssoprack/scheduling/DefaultOwnerScheduler.kt
@@ -10,6 +10,7 @@
 ) : OwnerScheduler {
     private val leaseIds = LeaseIds(self)
     private val tables = LinkedHashMap<BackendServerId, SlotTable>()
+    private var lastMs = 0L
     private val loads = HashMap<BackendServerId, ServerLoad>()
 
     override fun receive(nowMs: Long, from: HostRef, message: SlotMessage): List<OwnerOutput> =
@@ -39,7 +40,12 @@
         val pool = fleet.pools[server.pool] ?: return
         val table = tables[server.id]
         if (table != null) return table.update(server, pool, fleet.tiers)
-        val load = ServerLoad(server.slots, pool)
+        val load = ServerLoad(
+            peers = { medianOfPeers(it) },
+            generation = server.generation,
+            slots = server.slots,
+            pool = pool
+        )
         loads[server.id] = load
         tables[server.id] = SlotTable(
             settings = settings,
@@ -52,6 +58,14 @@
         )
     }
 
+    private fun medianOfPeers(load: ServerLoad): Double? {
+        val recent = loads.values.filter {
+            it.isPeerOf(load)
+        }.mapNotNull { it.recentTokenMs }.sorted()
+        if (recent.size < MIN_PEERS) return null
+        return recent[recent.size / 2]
+    }
+
     override fun loadReported(nowMs: Long, server: BackendServerId, running: Int, queued: Int) {
         loads[server]?.reported(running, queued)
     }
@@ -59,9 +73,16 @@
     override fun hostGone(nowMs: Long, host: HostRef): List<OwnerOutput> =
         tables.values.flatMap { it.hostGone(nowMs, host) }
 
-    override fun tick(nowMs: Long): List<OwnerOutput> = tables.values.flatMap { it.tick(nowMs) }
+    override fun tick(nowMs: Long): List<OwnerOutput> {
+        lastMs = nowMs
+        return tables.values.flatMap { it.tick(nowMs) }
+    }
 
     override fun digests(): Map<BackendServerId, ServerDigest> = tables.mapValues {
-        it.value.digest()
+        it.value.digest(lastMs)
+    }
+
+    private companion object {
+        const val MIN_PEERS = 2
     }
 }
