--- a/bench/src/main/kotlin/org/hyssoprack/bench/cost/EngineClientCost.kt
+++ b/bench/src/main/kotlin/org/hyssoprack/bench/cost/EngineClientCost.kt
@@ -3,12 +3,14 @@
 import com.sun.management.OperatingSystemMXBean
 import java.lang.management.ManagementFactory
 import java.nio.file.Path
+import java.util.concurrent.atomic.AtomicLong
 import kotlin.io.path.createDirectories
 import kotlinx.coroutines.Dispatchers
 import kotlinx.coroutines.async
 import kotlinx.coroutines.awaitAll
 import kotlinx.coroutines.coroutineScope
 import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
 import kotlinx.coroutines.runBlocking
 import kotlinx.coroutines.withContext
 import org.hyssoprack.backend.EngineCall
@@ -24,7 +26,7 @@
 /** Measures the client of engines alone, in this process. */
 internal class EngineClientCost(private val load: CostLoad, private val directory: Path) {
     private val firstTokensMs = mutableListOf<Double>()
-    private var tokens = 0L
+    private val tokens = AtomicLong()
     private var whole = 0
 
     /** Runs the load through the client and sums up. */
@@ -40,20 +42,27 @@
         withContext(Dispatchers.Default) {
             val requests = load.requests()
             val startNs = System.nanoTime()
-            val cpuBeforeNs = cpuNs()
+            var countedNs = startNs
+            var cpuBeforeNs = 0L
             coroutineScope {
+                launch {
+                    delay(load.experiment.warmUpS * MS_PER_S)
+                    countedNs = System.nanoTime()
+                    cpuBeforeNs = cpuNs()
+                    tokens.set(0)
+                }
                 requests.map { planned ->
                     val dueNs = startNs + (planned.atMs * NS_PER_MS).toLong()
                     delay(maxOf(0L, (dueNs - System.nanoTime()) / NS_PER_MS.toLong()))
                     async { send(client, fleet, planned) }
                 }.awaitAll()
             }
-            val elapsedNs = (System.nanoTime() - startNs).toDouble()
+            val elapsedNs = (System.nanoTime() - countedNs).toDouble()
             CostPhase(
                 path = "engine client",
                 requests = requests.size,
                 whole = whole,
-                tokensPerS = tokens / (elapsedNs / NS_PER_S),
+                tokensPerS = tokens.get() / (elapsedNs / NS_PER_S),
                 firstToken = Percentiles.of(firstTokensMs.asSequence()),
                 betweenTokens = Percentiles.of(emptySequence()),
                 cpuShare = (cpuNs() - cpuBeforeNs) / elapsedNs
@@ -71,15 +80,17 @@
         var firstNs = 0L
         var isWhole = false
         client.complete(server, call(planned)).collect { event ->
-            if (event is EngineEvent.Token && count++ == 0L) firstNs = System.nanoTime()
+            if (event is EngineEvent.Token) {
+                if (count++ == 0L) firstNs = System.nanoTime()
+                tokens.incrementAndGet()
+            }
             if (event is EngineEvent.Finished) isWhole = true
         }
-        note(count, isWhole, (firstNs - sentNs) / NS_PER_MS)
+        note(isWhole, (firstNs - sentNs) / NS_PER_MS)
     }
 
     @Synchronized
-    private fun note(count: Long, isWhole: Boolean, firstTokenMs: Double) {
-        tokens += count
+    private fun note(isWhole: Boolean, firstTokenMs: Double) {
         if (isWhole) whole++
         firstTokensMs.add(firstTokenMs)
     }
@@ -97,6 +108,7 @@
 
     private companion object {
         const val TIMEOUT_MS = 10_000L
+        const val MS_PER_S = 1_000L
         const val NS_PER_MS = 1_000_000.0
         const val NS_PER_S = 1_000_000_000.0
     }
--- a/bench/src/main/kotlin/org/hyssoprack/bench/deployment/ChildProcess.kt
+++ b/bench/src/main/kotlin/org/hyssoprack/bench/deployment/ChildProcess.kt
@@ -44,6 +44,12 @@
         const val STOP_WAIT_S = 3L
         const val KILL_WAIT_S = 5L
 
+
+        /** As in bin/hyssoprackd: more threads than these only steal work from each other. */
+        val HOST_OPTIONS = listOf(
+            "-Dkotlinx.coroutines.scheduler.core.pool.size=4",
+            "-Dkotlinx.coroutines.io.parallelism=4"
+        )
         val LIGHT_OPTIONS =
             listOf("-XX:ActiveProcessorCount=2", "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1")
 
@@ -55,7 +61,7 @@
         ): List<String> {
             val java = Path.of(System.getProperty("java.home"), "bin", "java").toString()
             val options = listOf("-XX:+PerfDisableSharedMem", "-Xmx${heapMb}m") +
-                (if (light) LIGHT_OPTIONS else emptyList())
+                (if (light) LIGHT_OPTIONS else HOST_OPTIONS)
             val classPath = listOf("-cp", System.getProperty("java.class.path"))
             return listOf(java) + options + classPath + mainClass + arguments
         }
