--- a/core/scheduling/src/main/kotlin/org/hyssoprack/scheduling/EntryState.kt
+++ b/core/scheduling/src/main/kotlin/org/hyssoprack/scheduling/EntryState.kt
@@ -14,20 +14,31 @@
 ) {
     var fleet = Fleet(emptyMap(), emptyMap())
         private set
-    var servers = EntryServers(ownDomain, fleet)
+    var servers = entryServers()
         private set
     val requests = RequestTable(settings)
     val leases = LeaseBook(settings)
     val prefixes = PrefixCaches()
     val speeds = ServerSpeeds()
-    private val routing = Routing(this)
+    val interest = ServerInterest()
+    val demand = BlockDemand()
+    private val routing = Routing(leases, speeds, prefixes)
     private val outputs = ArrayList<EntryOutput>()
 
+    private fun entryServers(): EntryServers = EntryServers(
+        ownDomain = ownDomain,
+        hostKey = self.host.value.hashCode().toLong(),
+        candidateLimit = settings.candidateLimit,
+        fleet = fleet
+    )
+
     fun changeFleet(fleet: Fleet) {
         this.fleet = fleet
-        servers = EntryServers(ownDomain, fleet)
+        servers = entryServers()
         prefixes.retain(fleet.servers.keys)
         speeds.retain(fleet.servers.keys)
+        interest.clear()
+        routing.retain(fleet.pools.keys)
     }
 
     fun add(output: EntryOutput) {
@@ -50,20 +61,65 @@
         return taken
     }
 
-    fun rank(nowMs: Long, entry: EntryRequest): List<FleetServer> = routing.rank(nowMs, entry)
+    fun rank(nowMs: Long, entry: EntryRequest): List<RankedServer> {
+        val ranked = routing.rank(nowMs, entry, servers)
+        interest.compared(nowMs, entry.request.pool, ranked)
+        return ranked
+    }
+
+    /** False if a request waits for the first server chosen, and for no other. */
+    fun widens(entry: EntryRequest): Boolean = routing.strategy(servers, entry.request.pool).widens
 
     /** Latest time at which a dispatch to [server] is expected to meet the deadline. */
     fun latestDispatch(nowMs: Long, entry: EntryRequest, server: FleetServer): Long =
-        entry.request.deadlineAtMs - routing.serviceMs(nowMs, entry, server).toLong()
+        entry.request.deadlineAtMs - (freshServiceMs(nowMs, entry, server) * MARGIN).toLong()
 
-    fun measured(nowMs: Long, entry: EntryRequest, report: FinishReport) {
+    /** Expected service time; 0 without a recent measurement, so that an old one rejects nothing. */
+    private fun freshServiceMs(nowMs: Long, entry: EntryRequest, server: FleetServer): Double {
+        if (!speeds.isFresh(nowMs, server)) return 0.0
+        return routing.serviceMs(nowMs, entry, server)
+    }
+
+    /** Takes in the first token of a long answer, whose end is far. */
+    fun firstToken(nowMs: Long, entry: EntryRequest, elapsedMs: Long) {
+        entry.hasFirstToken = true
         val server = entry.server?.let { servers.find(it) } ?: return
+        if (!entry.kind.long || entry.isFirstTokenMeasured) return
+        entry.isFirstTokenMeasured = true
+        val report = FinishReport(
+            firstTokenMs = elapsedMs,
+            tokenMs = null,
+            promptTokens = entry.uncachedTokens
+        )
         speeds.measured(nowMs, server, report)
     }
 
+    fun measured(nowMs: Long, entry: EntryRequest, report: FinishReport) {
+        val server = entry.server?.let { servers.find(it) } ?: return
+        val first = if (entry.isFirstTokenMeasured) null else report.firstTokenMs
+        speeds.measured(nowMs, server, report.copy(firstTokenMs = first))
+        if (entry.phase == RequestPhase.RUNNING) {
+            speeds.held(entry.kind.long, nowMs - entry.dispatchedAtMs)
+        }
+    }
+
+    /** Estimated time after which a request like [entry] would find a slot. */
+    fun retryAfterMs(entry: EntryRequest): Long {
+        val slots = servers.ofPool(entry.request.pool).sumOf { it.slots }.coerceAtLeast(1)
+        val waiting = requests.waitingBeside(entry.kind)
+        val slotMs = speeds.meanHoldMs(entry.kind)
+        return (slotMs * waiting / slots).toLong().coerceIn(RETRY_MIN_MS, RETRY_MAX_MS)
+    }
+
     /** Ends a request that was not dispatched. */
     fun reject(entry: EntryRequest, failure: Failure) {
         requests.drop(entry)
         outputs.add(EntryOutput.Reject(entry.id, failure))
     }
+
+    private companion object {
+        const val MARGIN = 1.15
+        const val RETRY_MIN_MS = 500L
+        const val RETRY_MAX_MS = 30_000L
+    }
 }
--- a/daemon/src/main/kotlin/org/hyssoprack/daemon/HostRuntime.kt
+++ b/daemon/src/main/kotlin/org/hyssoprack/daemon/HostRuntime.kt
@@ -64,7 +64,7 @@
     private val membership = SwimMembership(
         self = Member(
             ref = self,
-            linkAddress = settings.link,
+            linkAddress = settings.advertisedLink,
             callerAddress = settings.callers,
             domain = settings.domain,
             region = settings.region
@@ -124,7 +124,8 @@
 
     private val requests = RequestRegistry(clock = clock, giveUpWaiting = entry::giveUp)
     private val retries = RetryTask(self = self, registry = requests, send = link::send)
-    private val recorder = RecorderGroup(listOf(MetricsRecorder(registry)))
+    private val burn = BurnRecorder(self.host, bundles, clock)
+    private val recorder = RecorderGroup(listOf(MetricsRecorder(registry), burn))
 
     private val service = RequestService(
         self = self,
@@ -175,6 +176,7 @@
         ),
         holder = bundles,
         state = report,
+        burn = burn,
         bodies = bodies,
         drain = drain::begin,
         metrics = registry::scrape,
@@ -239,6 +241,7 @@
                 self = self,
                 listen = settings.link,
                 messages = MESSAGES,
+                advertised = settings.advertisedLink,
                 clock = clock,
                 log = log
             ).map { link ->
