Cancel a preempted completion on its engine before its slot is freed

Cause: the task that cancels on the engine was itself cancelled as soon as the stream had ended, so a preempted request could go on on the engine, and a suspended one stayed there.

--- a/daemon/src/main/kotlin/org/hyssoprack/daemon/SettingsReader.kt
+++ b/daemon/src/main/kotlin/org/hyssoprack/daemon/SettingsReader.kt
@@ -41,11 +41,12 @@
         val faults = mutableListOf<SettingsFault>()
 
         fun settings(): DaemonSettings {
+            val link = address("link")
             val settings = DaemonSettings(
                 host = HostId(name("host")),
                 domain = FailureDomain(name("domain")),
                 region = Region(name("region")),
-                link = address("link"),
+                link = link,
                 callers = address("callers"),
                 operators = address("operators"),
                 tableService = address("tableService"),
@@ -53,7 +54,7 @@
                 hostList = address("hostList"),
                 weightStore = address("weightStore"),
                 peers = peers(),
-                advertisedLink = advertisedLink(),
+                advertisedLink = if ("advertisedLink" in json) address("advertisedLink") else link,
                 operatorKeys = operatorKeys(),
                 addressTtlMs = number("addressTtlMs", default = 3_000, range = 100L..600_000L),
                 maxBodyBytes =
@@ -70,11 +71,6 @@
             return "invalid"
         }
 
-        private fun advertisedLink(): NetworkAddress {
-            val isGiven = "advertisedLink" in json
-            return address(if (isGiven) "advertisedLink" else "link")
-        }
-
         private fun address(field: String): NetworkAddress =
             address("$.$field", json[field]) ?: NO_ADDRESS
 
--- a/host/src/main/kotlin/org/hyssoprack/host/CompletionRun.kt
+++ b/host/src/main/kotlin/org/hyssoprack/host/CompletionRun.kt
@@ -2,11 +2,13 @@
 
 import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.Job
+import kotlinx.coroutines.NonCancellable
 import kotlinx.coroutines.cancelAndJoin
 import kotlinx.coroutines.channels.ReceiveChannel
 import kotlinx.coroutines.coroutineScope
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
+import kotlinx.coroutines.withContext
 import org.hyssoprack.backend.EngineCall
 import org.hyssoprack.backend.EngineClient
 import org.hyssoprack.backend.EngineEvent
@@ -129,8 +131,11 @@
     private suspend fun interrupt(stream: Job, code: ResultCode, detail: String) {
         if (ending != null) return
         interruption = Failure(code = code, detail = detail)
-        stream.cancelAndJoin()
-        engines.cancel(server, request.id)
+        // The end of the stream cancels this task; the engine must be told all the same.
+        withContext(NonCancellable) {
+            stream.cancelAndJoin()
+            engines.cancel(server, request.id)
+        }
     }
 
     private fun engineCall() = EngineCall(
