Let tests of the proxy and the client wait as long as a busy machine takes

Cause: two tests read an answer that was later than 400 ms, or a connection that took longer than 1 s, as a fault; both failed once while other builds kept the machine at a load of 86. Conclusion: kept; no check was eased.

--- a/bench/src/main/kotlin/org/hyssoprack/bench/deployment/ChildProcess.kt
+++ b/bench/src/main/kotlin/org/hyssoprack/bench/deployment/ChildProcess.kt
@@ -44,7 +44,6 @@
         const val STOP_WAIT_S = 3L
         const val KILL_WAIT_S = 5L
 
-
         /** As in bin/hyssoprackd: more threads than these only steal work from each other. */
         val HOST_OPTIONS = listOf(
             "-Dkotlinx.coroutines.scheduler.core.pool.size=4",
--- a/client/src/test/kotlin/org/hyssoprack/client/HyssoprackClientTest.kt
+++ b/client/src/test/kotlin/org/hyssoprack/client/HyssoprackClientTest.kt
@@ -300,10 +300,12 @@
         """{"number":${code.number},"name":"x","outcome":"x","detail":""}"""
 
     private fun client(seeds: List<NetworkAddress>) =
-        HyssoprackClient(seeds, key = "secret", ClientSettings(attempts = 3, firstBackoffMs = 1))
+        HyssoprackClient(seeds, key = "secret", PATIENT)
 
     private companion object {
         const val DEADLINE_MS = 20_000L
+        val PATIENT =
+            ClientSettings(attempts = 3, firstBackoffMs = 1, connectTimeoutMs = 10_000)
         const val STATUS = 404
     }
 }
--- a/core/scheduling/src/test/kotlin/org/hyssoprack/scheduling/InterleavingTest.kt
+++ b/core/scheduling/src/test/kotlin/org/hyssoprack/scheduling/InterleavingTest.kt
@@ -39,7 +39,8 @@
     ) {
         val calm = history.copy(dropPercent = 0, maxDelayMs = 10)
         val actions = history.actions.filter {
-            it is ModelAction.Run || it is ModelAction.Burst ||
+            it is ModelAction.Run ||
+                it is ModelAction.Burst ||
                 (it is ModelAction.Submit && it.deadlineMs >= ROOM_MS)
         }
         val model = play(calm.copy(actions = actions))
--- a/testing/faultproxy/src/test/kotlin/org/hyssoprack/faultproxy/FaultProxyTest.kt
+++ b/testing/faultproxy/src/test/kotlin/org/hyssoprack/faultproxy/FaultProxyTest.kt
@@ -44,7 +44,7 @@
         cases.forEach { case ->
             withProxy { echo, proxy, control ->
                 control.set(case.faults)
-                assertThat(echoOnce(proxy), case.name).isEqualTo(case.echo)
+                assertThat(echoOnce(proxy, expected = case.echo), case.name).isEqualTo(case.echo)
                 assertThat(echo.received.get() > 0, case.name).isEqualTo(case.arrives)
             }
         }
@@ -55,7 +55,7 @@
             connect(proxy).use { old ->
                 assertThat(exchange(old)).isEqualTo(Echo.ANSWERED)
                 control.post("/listeners/l/silence")
-                assertThat(exchange(old)).isEqualTo(Echo.SILENT)
+                assertThat(exchange(old, expected = Echo.SILENT)).isEqualTo(Echo.SILENT)
                 assertThat(echoOnce(proxy)).isEqualTo(Echo.ANSWERED)
             }
         }
@@ -77,14 +77,15 @@
         assertThat(echoOnce(proxy)).isNotEqualTo(Echo.REFUSED)
     }
 
-    private fun echoOnce(port: Int): Echo = try {
-        connect(port).use(::exchange)
+    private fun echoOnce(port: Int, expected: Echo = Echo.ANSWERED): Echo = try {
+        connect(port).use { exchange(it, expected) }
     } catch (_: IOException) {
         Echo.REFUSED
     }
 
-    private fun exchange(socket: Socket): Echo = try {
-        socket.soTimeout = SILENCE_MS
+    // Silence that is expected is waited for briefly, an answer for as long as a busy machine takes.
+    private fun exchange(socket: Socket, expected: Echo = Echo.ANSWERED): Echo = try {
+        socket.soTimeout = if (expected == Echo.SILENT) SILENCE_MS else ANSWER_TIMEOUT_MS
         socket.getOutputStream().write(7)
         if (socket.getInputStream().read() == 7) Echo.ANSWERED else Echo.CLOSED
     } catch (_: SocketTimeoutException) {
@@ -127,6 +128,7 @@
 
     private companion object {
         const val SILENCE_MS = 400
+        const val ANSWER_TIMEOUT_MS = 20_000
         val SILENT = DirectionFaults(silent = true)
     }
 }
