--- a/daemon/src/main/kotlin/org/hyssoprack/daemon/HostRuntime.kt
+++ b/daemon/src/main/kotlin/org/hyssoprack/daemon/HostRuntime.kt
@@ -40,6 +40,7 @@
 import org.hyssoprack.membership.SwimMembership
 import org.hyssoprack.membership.TableMemberDirectory
 import org.hyssoprack.membership.memberMessages
+import org.hyssoprack.orders.DefaultOrderService
 import org.hyssoprack.scheduling.DefaultEntryScheduler
 import org.hyssoprack.scheduling.DefaultOwnerScheduler
 import org.hyssoprack.scheduling.slotMessages
@@ -141,6 +142,15 @@
         recorder = recorder
     )
 
+    private val orders = DefaultOrderService(
+        self = self,
+        table = platform.table,
+        weights = platform.weights,
+        engines = engines,
+        clock = clock,
+        log = log
+    )
+
     private val drain = Drain(
         membership = membership,
         clock = clock,
@@ -177,6 +187,7 @@
         holder = bundles,
         state = report,
         burn = burn,
+        orders = OrderEndpoint(orders = orders, server = fleet::server),
         bodies = bodies,
         drain = drain::begin,
         metrics = registry::scrape,
--- a/daemon/src/main/kotlin/org/hyssoprack/daemon/OperatorServer.kt
+++ b/daemon/src/main/kotlin/org/hyssoprack/daemon/OperatorServer.kt
@@ -38,6 +38,7 @@
     private val holder: BundleHolder,
     private val state: HostReport,
     private val burn: BurnRecorder,
+    private val orders: OrderEndpoint,
     private val bodies: BodyReader,
     private val drain: () -> Unit,
     private val metrics: () -> String,
@@ -97,6 +98,12 @@
         get("/v1/hosts") { asOperator(call) { call.respondJson(state.hosts()) } }
         get("/v1/backend-servers") { asOperator(call) { call.respondJson(state.backendServers()) } }
         get("/v1/burn") { asOperator(call) { call.respondJson(burn.snapshot()) } }
+        post("/v1/orders") {
+            asOperator(call) {
+                val json = bodies.read(call).bind().decodeToString()
+                call.respondJson(orders.give(json).bind())
+            }
+        }
         post("/v1/drain") {
             asOperator(call) {
                 drain()
--- /dev/null
+++ b/daemon/src/main/kotlin/org/hyssoprack/daemon/OrderEndpoint.kt
@@ -0,0 +1,42 @@
+package org.hyssoprack.daemon
+
+import arrow.core.Either
+import arrow.core.left
+import kotlinx.serialization.SerializationException
+import kotlinx.serialization.json.Json
+import org.hyssoprack.backend.EngineStatus
+import org.hyssoprack.common.BackendServerId
+import org.hyssoprack.common.Failure
+import org.hyssoprack.common.ModelId
+import org.hyssoprack.common.ResultCode
+import org.hyssoprack.orders.DesiredState
+import org.hyssoprack.orders.OrderService
+import org.hyssoprack.platform.BackendServer
+
+/** Takes operators' orders to backend servers. */
+internal class OrderEndpoint(
+    private val orders: OrderService,
+    private val server: (BackendServerId) -> BackendServer?
+) {
+    /** Gives the order in [json], an [OrderBody]. Fails with BODY_INVALID, or as the order does. */
+    suspend fun give(json: String): Either<Failure, EngineStatus> {
+        val body = try {
+            Json.decodeFromString<OrderBody>(json)
+        } catch (e: SerializationException) {
+            val detail = "Send 'server', 'model', and optionally 'version', 'adapters', 'role'."
+            return Failure(ResultCode.BODY_INVALID, detail).left()
+        }
+        val server = server(BackendServerId(body.server)) ?: return unknown(body).left()
+        return orders.order(server, desired(body))
+    }
+
+    private fun desired(body: OrderBody) = DesiredState(
+        model = ModelId(body.model),
+        version = body.version,
+        adapters = body.adapters,
+        role = body.role
+    )
+
+    private fun unknown(body: OrderBody) =
+        Failure(ResultCode.NO_BACKEND_SERVER, "The host list has no '${body.server}'.")
+}
