Tell waiting requests at once that a server has no slot, and widen on that

A request asked two servers and waited 100 ms before it asked more, while other servers had free slots. An owner now answers a new registration that finds no slot with a digest, and the request doubles the servers it waits for. Times that include a suspension no longer count as speed: they made healthy servers look like stragglers.

--- a/core/scheduling/src/main/kotlin/org/hyssoprack/scheduling/Asking.kt
+++ b/core/scheduling/src/main/kotlin/org/hyssoprack/scheduling/Asking.kt
@@ -1,5 +1,7 @@
 package org.hyssoprack.scheduling
 
+import org.hyssoprack.common.BackendServerId
+
 /** Chooses the servers for which requests wait: the best first, then more and more of them. */
 internal class Asking(private val state: EntryState, private val registrations: Registrations) {
     private val settings = state.settings
@@ -24,6 +26,13 @@
     /** Removes a request that no longer waits. */
     fun withdraw(entry: EntryRequest) = registrations.remove(entry)
 
+    /** Turns to more servers at once, since the owner of [server] has no slot now. */
+    fun refused(nowMs: Long, server: BackendServerId) {
+        registrations.waitingFor(server)
+            .filter { !it.waitsEverywhere && state.widens(it) }
+            .forEach { widen(nowMs, it) }
+    }
+
     fun tick(nowMs: Long) {
         state.requests.waiting().filter { nowMs >= it.widenAtMs }.forEach { widen(nowMs, it) }
         registrations.tick(nowMs)
@@ -32,8 +41,9 @@
     private fun widen(nowMs: Long, entry: EntryRequest) {
         entry.width = minOf(entry.width * 2, settings.candidateLimit)
         val ranked = state.rank(nowMs, entry)
-        val isLast = entry.width >= ranked.size
-        entry.widenAtMs = nowMs + if (isLast) settings.rankTermMs else settings.wideningDelayMs
+        entry.waitsEverywhere = entry.width >= ranked.size
+        val delayMs = if (entry.waitsEverywhere) settings.rankTermMs else settings.wideningDelayMs
+        entry.widenAtMs = nowMs + delayMs
         if (ranked.isEmpty()) return
         entry.latestDispatchAtMs = state.latestDispatch(nowMs, entry, ranked.first().server)
         ranked.take(entry.width).forEach { registrations.add(nowMs, entry, it.server) }
--- a/core/scheduling/src/main/kotlin/org/hyssoprack/scheduling/DefaultEntryScheduler.kt
+++ b/core/scheduling/src/main/kotlin/org/hyssoprack/scheduling/DefaultEntryScheduler.kt
@@ -63,6 +63,7 @@
         if (entry.phase != RequestPhase.RUNNING) return emptyList()
         entry.phase = RequestPhase.SUSPENDED
         entry.preempting = false
+        entry.wasSuspended = true
         slots.release(nowMs, entry)
         resuming.ask(nowMs, entry)
         return state.takeOutputs()
@@ -82,7 +83,7 @@
             is SlotMessage.Recall -> slots.recalled(nowMs, from, message)
             is SlotMessage.Preempt -> slots.preempt(nowMs, message)
             is SlotMessage.ShedVerdict -> shedding.receive(nowMs, message)
-            is SlotMessage.Digest -> renewals.confirmed(nowMs, message)
+            is SlotMessage.Digest -> digest(nowMs, message)
             is SlotMessage.Ask,
             is SlotMessage.AskBlock,
             is SlotMessage.Withdraw,
@@ -93,6 +94,11 @@
         return state.takeOutputs()
     }
 
+    private fun digest(nowMs: Long, message: SlotMessage.Digest) {
+        renewals.confirmed(nowMs, message)
+        if (message.renewedAtMs == null) asking.refused(nowMs, message.server)
+    }
+
     override fun updateFleet(nowMs: Long, fleet: Fleet): List<EntryOutput> {
         val before = state.fleet
         state.changeFleet(fleet)
--- a/core/scheduling/src/main/kotlin/org/hyssoprack/scheduling/EntryRequest.kt
+++ b/core/scheduling/src/main/kotlin/org/hyssoprack/scheduling/EntryRequest.kt
@@ -15,6 +15,7 @@
     var nextAskMs = 0L
     var width = 0
     var widenAtMs = 0L
+    var waitsEverywhere = false
     var urgentServer: BackendServerId? = null
     var urgentUntilMs = 0L
     var latestDispatchAtMs = request.deadlineAtMs
@@ -28,6 +29,7 @@
     var hasFirstToken = false
     var isFirstTokenMeasured = false
     var preempting = false
+    var wasSuspended = false
 
     val id get() = request.id
 
--- a/core/scheduling/src/main/kotlin/org/hyssoprack/scheduling/EntryState.kt
+++ b/core/scheduling/src/main/kotlin/org/hyssoprack/scheduling/EntryState.kt
@@ -84,7 +84,7 @@
     fun firstToken(nowMs: Long, entry: EntryRequest, elapsedMs: Long) {
         entry.hasFirstToken = true
         val server = entry.server?.let { servers.find(it) } ?: return
-        if (!entry.kind.long || entry.isFirstTokenMeasured) return
+        if (!entry.kind.long || entry.isFirstTokenMeasured || entry.wasSuspended) return
         entry.isFirstTokenMeasured = true
         val report = FinishReport(
             firstTokenMs = elapsedMs,
@@ -94,13 +94,13 @@
         speeds.measured(nowMs, server, report)
     }
 
+    /** Takes in a finished request; times that include a suspension tell nothing of the server. */
     fun measured(nowMs: Long, entry: EntryRequest, report: FinishReport) {
         val server = entry.server?.let { servers.find(it) } ?: return
+        if (entry.wasSuspended) return
         val first = if (entry.isFirstTokenMeasured) null else report.firstTokenMs
         speeds.measured(nowMs, server, report.copy(firstTokenMs = first))
-        if (entry.phase == RequestPhase.RUNNING) {
-            speeds.held(entry.kind.long, nowMs - entry.dispatchedAtMs)
-        }
+        speeds.held(entry.kind.long, nowMs - entry.dispatchedAtMs)
     }
 
     /** Estimated time after which a request like [entry] would find a slot. */
--- a/core/scheduling/src/main/kotlin/org/hyssoprack/scheduling/RegistrationQueue.kt
+++ b/core/scheduling/src/main/kotlin/org/hyssoprack/scheduling/RegistrationQueue.kt
@@ -17,6 +17,8 @@
 
     fun isEmpty(): Boolean = registrations.isEmpty()
 
+    operator fun contains(key: RegistrationKey): Boolean = key in registrations
+
     /** Registrations that want lower tiers to make room, the highest tier first. */
     fun urgent(): List<Registration> =
         registrations.values.filter { it.urgent > 0 }.sortedBy { it.tier }
--- a/core/scheduling/src/main/kotlin/org/hyssoprack/scheduling/Registrations.kt
+++ b/core/scheduling/src/main/kotlin/org/hyssoprack/scheduling/Registrations.kt
@@ -54,6 +54,10 @@
     fun next(place: Place): EntryRequest? =
         places[place]?.waiting?.minByOrNull { it.latestDispatchAtMs }
 
+    /** Requests that wait for [server]. */
+    fun waitingFor(server: BackendServerId): List<EntryRequest> =
+        places.filterKeys { it.server == server }.values.flatMap { it.waiting }
+
     fun tick(nowMs: Long) {
         places.forEach { (place, known) ->
             if (nowMs - known.sentAtMs >= settings.askRepeatMs) send(nowMs, place, known)
--- a/core/scheduling/src/main/kotlin/org/hyssoprack/scheduling/Renewals.kt
+++ b/core/scheduling/src/main/kotlin/org/hyssoprack/scheduling/Renewals.kt
@@ -36,7 +36,7 @@
 
     /** Takes an owner's answer to a renewal. */
     fun confirmed(nowMs: Long, message: SlotMessage.Digest) {
-        state.leases.confirm(message.server, message.renewedAtMs)
+        message.renewedAtMs?.let { state.leases.confirm(message.server, it) }
         state.speeds.digest(nowMs, message.server, message.state)
     }
 
--- a/core/scheduling/src/main/kotlin/org/hyssoprack/scheduling/SlotMessage.kt
+++ b/core/scheduling/src/main/kotlin/org/hyssoprack/scheduling/SlotMessage.kt
@@ -163,12 +163,15 @@
         @SerialName("p") val termMs: Long
     ) : SlotMessage
 
-    /** Owner to entry: state of a backend server, as the answer to the [Renew] of [renewedAtMs]. */
+    /**
+     * Owner to entry: state of a backend server, as the answer to the [Renew] of [renewedAtMs], or to
+     * an [Ask] that found no slot if that is null.
+     */
     @Serializable
     @SerialName("sd")
     data class Digest(
         @SerialName("s") val server: BackendServerId,
         @SerialName("d") val state: ServerDigest,
-        @SerialName("m") val renewedAtMs: Long
+        @SerialName("m") val renewedAtMs: Long? = null
     ) : SlotMessage
 }
--- a/core/scheduling/src/main/kotlin/org/hyssoprack/scheduling/SlotTable.kt
+++ b/core/scheduling/src/main/kotlin/org/hyssoprack/scheduling/SlotTable.kt
@@ -37,9 +37,8 @@
         load.changeSlots(server.slots, pool)
     }
 
-    fun ask(nowMs: Long, from: HostRef, message: SlotMessage.Ask): List<OwnerOutput> = step(nowMs) {
-        val lease = message.resuming?.let { leases.unconfirmed(it, from) }
-        if (lease != null) return@step sendGrant(lease)
+    /** Registers waiting requests; a new registration that finds no slot is told so by a digest. */
+    fun ask(nowMs: Long, from: HostRef, message: SlotMessage.Ask): List<OwnerOutput> {
         val key = RegistrationKey(
             holder = from,
             tier = message.tier,
@@ -47,6 +46,15 @@
             long = message.long,
             resuming = message.resuming
         )
+        val isKnown = key in queue
+        val sent = step(nowMs) { register(nowMs, key, message) }
+        if (isKnown || key !in queue) return sent
+        return sent + OwnerOutput(from.host, SlotMessage.Digest(server.id, digest(nowMs)))
+    }
+
+    private fun register(nowMs: Long, key: RegistrationKey, message: SlotMessage.Ask) {
+        val lease = key.resuming?.let { leases.unconfirmed(it, key.holder) }
+        if (lease != null) return sendGrant(lease)
         val registration = queue.registration(key, message.share)
         registration.update(nowMs, message, settings.registrationTermMs)
     }
