Refuse new calls on a stopping host once its address has expired

Cause: a host counted calls of callers that keep an address for too long as calls in progress, so it did not end while they kept sending (seen: 68 s, then killed by the harness). Measured: DrainTest's table of times passes; a second stop signal changes nothing. Conclusion: kept; after the time to live such calls are told 2006 host-stopping, which is true, since they are not read any further.

--- a/daemon/src/main/kotlin/org/hyssoprack/daemon/CallerServer.kt
+++ b/daemon/src/main/kotlin/org/hyssoprack/daemon/CallerServer.kt
@@ -55,10 +55,18 @@
             install(HttpRequestLifecycle) { cancelCallOnClose = true }
             routing {
                 get("/v1/hosts") { call.respondJson(directory()) }
-                route("{...}") { handle { drain.call { serve(call) } } }
+                route("{...}") { handle { receive(call) } }
             }
         }.start(wait = false)
 
+    private suspend fun receive(call: ApplicationCall) {
+        if (drain.isClosed) {
+            val failure = Failure(ResultCode.HOST_STOPPING, "Ask for the hosts to use again.")
+            return refuse(call, failure)
+        }
+        drain.call { serve(call) }
+    }
+
     private suspend fun serve(call: ApplicationCall) {
         call.response.header(CallerHeaders.HOST, self.toString())
         val isKnownMethod = call.request.httpMethod in METHODS
--- a/host/src/main/kotlin/org/hyssoprack/host/Drain.kt
+++ b/host/src/main/kotlin/org/hyssoprack/host/Drain.kt
@@ -1,7 +1,7 @@
 package org.hyssoprack.host
 
-import java.util.concurrent.atomic.AtomicBoolean
 import java.util.concurrent.atomic.AtomicInteger
+import java.util.concurrent.atomic.AtomicLong
 import kotlinx.coroutines.delay
 import org.hyssoprack.common.Clock
 import org.hyssoprack.common.EventLog
@@ -19,11 +19,17 @@
     private val log: EventLog,
     private val addressTtlMs: Long
 ) {
-    private val begun = AtomicBoolean()
+    private val addressesExpireAtMs = AtomicLong(NOT_BEGUN)
     private val calls = AtomicInteger()
 
     /** True from the moment at which the host is told to stop. */
-    val isDraining: Boolean get() = begun.get()
+    val isDraining: Boolean get() = addressesExpireAtMs.get() != NOT_BEGUN
+
+    /**
+     * True from the moment at which no caller may hold the host's address any more. New calls are
+     * refused then, so that callers that keep an address for too long cannot keep the host up.
+     */
+    val isClosed: Boolean get() = clock.nowMs() >= addressesExpireAtMs.get()
 
     /** Calls of callers in progress on this host, from the first byte to the last. */
     val inProgress: Int get() = calls.get()
@@ -40,19 +46,20 @@
 
     /** Begins to drain; a second call changes nothing. */
     fun begin() {
-        if (!begun.compareAndSet(false, true)) return
+        val expiresAtMs = clock.nowMs() + addressTtlMs
+        if (!addressesExpireAtMs.compareAndSet(NOT_BEGUN, expiresAtMs)) return
         log.event("drain-begun", "in_progress" eq inProgress)
         membership.leave()
     }
 
     /** Returns when no caller can hold the address any more and nothing is in progress. */
     suspend fun awaitIdle() {
-        val addressesExpireAtMs = clock.nowMs() + addressTtlMs
-        while (clock.nowMs() < addressesExpireAtMs || inProgress > 0) delay(POLL_MS)
+        while (!isClosed || inProgress > 0) delay(POLL_MS)
         log.event("drain-ended")
     }
 
     private companion object {
         const val POLL_MS = 50L
+        const val NOT_BEGUN = Long.MAX_VALUE
     }
 }
