Poll backend servers and the host list once a second

Cause: an idle host spent most of its processor time on HTTP calls to the backend servers it owns, three a second for load and for cache events each.

--- a/host/src/main/kotlin/org/hyssoprack/host/BackendWatcher.kt
+++ b/host/src/main/kotlin/org/hyssoprack/host/BackendWatcher.kt
@@ -68,7 +68,7 @@
                     sequence = shareCacheEvents(server, sequence)
                 }
             }
-            delay(POLL_MS)
+            delay(if (misses == 0) POLL_MS else MISSED_POLL_MS)
         }
     }
 
@@ -101,7 +101,8 @@
 
     private companion object {
         const val REFRESH_MS = 250L
-        const val POLL_MS = 300L
+        const val POLL_MS = 1_000L
+        const val MISSED_POLL_MS = 300L
         const val MISSES_UNTIL_UNAVAILABLE = 3
         const val USE_MEMORY_MS = 10_000L
     }
--- a/host/src/main/kotlin/org/hyssoprack/host/FleetTask.kt
+++ b/host/src/main/kotlin/org/hyssoprack/host/FleetTask.kt
@@ -88,6 +88,6 @@
         a.live().map { it.ref } == b.live().map { it.ref }
 
     private companion object {
-        const val HOST_LIST_POLL_MS = 500L
+        const val HOST_LIST_POLL_MS = 1_000L
     }
 }
