--- a/bench/src/main/kotlin/org/hyssoprack/bench/ExperimentRunner.kt
+++ b/bench/src/main/kotlin/org/hyssoprack/bench/ExperimentRunner.kt
@@ -12,6 +12,7 @@
 import org.hyssoprack.bench.experiment.Experiment
 import org.hyssoprack.bench.experiment.FaultStep
 import org.hyssoprack.bench.experiment.FleetCapacity
+import org.hyssoprack.bench.experiment.PolicyText
 import org.hyssoprack.bench.experiment.Variant
 import org.hyssoprack.bench.load.Caller
 import org.hyssoprack.bench.load.LoadRun
@@ -45,7 +46,8 @@
         val engines = experiment.engines.flatMap { it.settings() }
         val own = directory.resolve(variant.name)
         Deployment(directory = own, engines = engines, hosts = experiment.hosts).use {
-            it.accept(policy(variant), experiment.classes.map { it.account }.distinct())
+            val accounts = experiment.classes.map { traffic -> traffic.account }.distinct()
+            it.accept(PolicyText.of(experiment, variant), accounts)
             val cpuBefore = cpuMs(it.hosts)
             val records = runBlocking { load(it, variant) }
             val cpu = cpuMs(it.hosts).mapValues { (name, ms) -> ms - cpuBefore.getValue(name) }
@@ -93,10 +95,6 @@
         }
     }
 
-    private fun policy(variant: Variant): String = experiment.policy.joinToString("\n") {
-        it.replace("{routing}", variant.routing).replace("{queueing}", variant.queueing)
-    }
-
     private fun cpuMs(processes: List<ChildProcess>): Map<String, Long> =
         processes.associate { it.name to it.cpuMs }
 
--- a/bench/src/main/kotlin/org/hyssoprack/bench/deployment/ChildProcess.kt
+++ b/bench/src/main/kotlin/org/hyssoprack/bench/deployment/ChildProcess.kt
@@ -21,7 +21,11 @@
         .redirectErrorStream(true)
         .redirectOutput(log.toFile())
         .start()
-    private var endedCpu: Duration? = null
+    private val killAtExit = Thread { process.destroyForcibly() }
+
+    init {
+        Runtime.getRuntime().addShutdownHook(killAtExit)
+    }
 
     val isAlive: Boolean get() = process.isAlive
 
@@ -44,7 +48,6 @@
         const val STOP_WAIT_S = 3L
         const val KILL_WAIT_S = 5L
 
-
         /** As in bin/hyssoprackd: more threads than these only steal work from each other. */
         val HOST_OPTIONS = listOf(
             "-Dkotlinx.coroutines.scheduler.core.pool.size=4",
--- a/bench/src/main/kotlin/org/hyssoprack/bench/experiment/FleetCapacity.kt
+++ b/bench/src/main/kotlin/org/hyssoprack/bench/experiment/FleetCapacity.kt
@@ -7,7 +7,7 @@
     private val answerTokens = mean { it.answer.mean() }
 
     /** Requests per second of the mix with every slot in use and every shared prefix cached. */
-    val requestsPerS: Double = experiment.engines.sumOf { it.count * requestsPerS(it) }
+    val requestsPerS: Double = perS(promptTokens, answerTokens)
 
     /** Answer tokens per second of the mix. */
     val tokensPerS: Double = requestsPerS * answerTokens
@@ -16,7 +16,16 @@
     fun offeredPerS(traffic: TrafficClass): Double =
         requestsPerS * experiment.load * traffic.weight / totalWeight
 
-    private fun requestsPerS(group: EngineGroup): Double {
+    /** Seconds of the whole fleet that one request takes. */
+    fun fleetSeconds(traffic: TrafficClass, promptTokens: Int, answerTokens: Int): Double {
+        val uncached = maxOf(0, promptTokens - cachedTokens(traffic))
+        return 1 / perS(uncached.toDouble(), answerTokens.toDouble())
+    }
+
+    private fun perS(promptTokens: Double, answerTokens: Double): Double =
+        experiment.engines.sumOf { it.count * perS(it, promptTokens, answerTokens) }
+
+    private fun perS(group: EngineGroup, promptTokens: Double, answerTokens: Double): Double {
         val stepMs = group.tokenMs * (1 + group.batchSlowdown * (group.slots - 1))
         val prefillMs = promptTokens * MS_PER_S / group.prefillTokensPerS
         return MS_PER_S / (prefillMs + answerTokens * stepMs / group.slots)
--- a/bench/src/main/kotlin/org/hyssoprack/bench/report/TextTable.kt
+++ b/bench/src/main/kotlin/org/hyssoprack/bench/report/TextTable.kt
@@ -57,7 +57,7 @@
         report.variants.joinToString("\n") { variant ->
             val causes = variant.prefill.wasted.entries.joinToString { "${it.key} ${it.value}" }
             "${variant.variant}: served ${percent(variant.servedShare)} of the capacity in good " +
-                "tokens; thrown-away prefill ${percent(variant.prefill.thrownAwayShare)}, with " +
+                "answers; thrown-away prefill ${percent(variant.prefill.thrownAwayShare)}, with " +
                 "repeated prefixes ${percent(variant.prefill.wastedShare)} of " +
                 "${variant.prefill.total} tokens ($causes); inversions ${variant.inversions}, " +
                 "sustained ${variant.sustainedInversions}; run twice ${variant.runTwice}; " +
--- a/bench/src/main/kotlin/org/hyssoprack/bench/report/VariantReport.kt
+++ b/bench/src/main/kotlin/org/hyssoprack/bench/report/VariantReport.kt
@@ -7,7 +7,8 @@
 /**
  * Result of one variant of an experiment.
  *
- * @property servedShare good answer tokens per second, as a share of the fleet's capacity.
+ * @property servedShare work of the good answers that ended in the counted time, as a share of what
+ *   the fleet can do in that time.
  * @property inversions shed requests with a lower tier in a slot; the margins of time measure how
  *   long it had held the slot and went on holding it.
  * @property sustainedInversions those that lasted [SUSTAINED_MS] to either side.
--- a/bench/src/main/kotlin/org/hyssoprack/bench/report/VariantSummary.kt
+++ b/bench/src/main/kotlin/org/hyssoprack/bench/report/VariantSummary.kt
@@ -25,11 +25,10 @@
         val inversions = InversionAudit(tierNames, hostEvents)
         val sustained = inversions.inversions(VariantReport.SUSTAINED_MS)
         val tiers = tierNames.map { tier(it, counted) }
-        val goodPerS = tiers.sumOf { it.goodTokens }.toDouble() / experiment.durationS
         return VariantReport(
             variant = variant,
             tiers = tiers,
-            servedShare = goodPerS / capacity.tokensPerS,
+            servedShare = servedShare(records),
             prefill = prefill.count(records.associate { it.requestId to it.planned }),
             inversions = inversions.inversions(marginMs = 0).size,
             sustainedInversions = sustained.size,
@@ -39,6 +38,23 @@
         )
     }
 
+    // Work is counted by when it ended, since an overloaded fleet serves on after the last request.
+    private fun servedShare(records: List<RequestRecord>): Double {
+        val fromMs = experiment.warmUpS * MS_PER_S
+        val toMs = fromMs + experiment.durationS * MS_PER_S
+        val ended = records.filter {
+            it.outcome == RequestOutcome.GOOD && it.planned.atMs + it.endMs in fromMs..toMs
+        }
+        val fleetSeconds = ended.sumOf {
+            capacity.fleetSeconds(
+                traffic = it.planned.traffic,
+                promptTokens = it.planned.promptTokens,
+                answerTokens = it.planned.answerTokens
+            )
+        }
+        return fleetSeconds / experiment.durationS
+    }
+
     private fun tier(name: String, counted: List<RequestRecord>): TierReport {
         val records = counted.filter { it.planned.traffic.tier == name }
         val good = records.filter { it.outcome == RequestOutcome.GOOD }
--- a/testing/standins/src/main/kotlin/org/hyssoprack/standins/service/ServiceServer.kt
+++ b/testing/standins/src/main/kotlin/org/hyssoprack/standins/service/ServiceServer.kt
@@ -105,7 +105,7 @@
 
     private suspend fun answer(call: ApplicationCall, body: ByteArray) {
         val type = call.request.contentType().takeIf { it != ContentType.Any }
-        if (faultSwitch.take(ServiceFault.LOSE_REPLY)) throw StreamCutException()
+        if (faultSwitch.take(ServiceFault.LOSE_REPLY)) delay(LOST_REPLY_MS)
         if (!faultSwitch.take(ServiceFault.CUT)) {
             return call.respondBytes(bytes = body, contentType = type)
         }
@@ -167,6 +167,7 @@
         const val REQUEST_ID = "X-Request-Id"
         const val IDEMPOTENCY_KEY = "Idempotency-Key"
         const val ADMITTED = "X-Admitted"
+        const val LOST_REPLY_MS = 600_000L
         const val STOP_TIMEOUT_MS = 500L
     }
 }
