--- a/core/scheduling/src/main/kotlin/org/hyssoprack/scheduling/Pace.kt
+++ b/core/scheduling/src/main/kotlin/org/hyssoprack/scheduling/Pace.kt
@@ -8,10 +8,12 @@
     /** Recent value in milliseconds, or null if unknown. */
     val recent: Double? get() = recentMs.value
 
-    /** Takes in a value; the history learns from it only if [isNormal]. */
+    /** Takes in a value; the history rises slowly, and only if [isNormal]. */
     fun add(valueMs: Double, isNormal: Boolean) {
         recentMs.add(valueMs)
-        if (isNormal) historyMs.add(valueMs)
+        if (!isNormal) return
+        val known = historyMs.value?.takeIf { historyMs.count >= HISTORY_MIN_COUNT }
+        historyMs.add(minOf(valueMs, known?.times(HISTORY_MAX_RISE) ?: valueMs))
     }
 
     /** How many times slower than its history or its peers it is; null if there is no reference. */
@@ -26,6 +28,7 @@
         const val RECENT_WEIGHT = 0.4
         const val HISTORY_WEIGHT = 0.02
         const val HISTORY_MIN_COUNT = 5
+        const val HISTORY_MAX_RISE = 1.5
         const val MIN_REFERENCE_MS = 0.001
     }
 }
