--- a/bench/src/main/kotlin/org/hyssoprack/bench/BenchMain.kt
+++ b/bench/src/main/kotlin/org/hyssoprack/bench/BenchMain.kt
@@ -18,8 +18,11 @@
 import org.hyssoprack.bench.cost.EngineClientCost
 import org.hyssoprack.bench.cost.HostCost
 import org.hyssoprack.bench.experiment.Experiment
+import org.hyssoprack.bench.experiment.Variant
 import org.hyssoprack.bench.report.SvgChart
 import org.hyssoprack.bench.report.TextTable
+import org.hyssoprack.burn.BurnReport
+import org.hyssoprack.burn.TextReport
 import org.tinylog.configuration.Configuration
 
 /** Entry point of the load tool; see `--help`. */
@@ -37,6 +40,8 @@
         .default("bench/results")
     private val variants by option(ArgType.String, "variants", description = "Names, with commas")
         .default("")
+    private val burn by option(ArgType.Boolean, "burn", description = "Print the burn report")
+        .default(false)
 
     override fun execute() {
         val only = variants.split(',').filter { it.isNotBlank() }
@@ -46,7 +51,7 @@
     private fun run(file: Path, only: List<String>) {
         val experiment = Json.decodeFromString<Experiment>(file.readText())
         val work = createTempDirectory("bench-${experiment.name}-")
-        val report = ExperimentRunner(experiment, work).run(only)
+        val report = ExperimentRunner(experiment, work, ::printBurn).run(only)
         println(TextTable.of(report))
         println("logs: $work")
         val directory = Path.of(results).createDirectories()
@@ -54,6 +59,12 @@
         directory.resolve("${experiment.name}.json").writeText(json.encodeToString(report) + "\n")
         directory.resolve("${experiment.name}.svg").writeText(SvgChart.of(report))
     }
+
+    private fun printBurn(variant: Variant, report: BurnReport) {
+        if (!burn) return
+        println("${variant.name}:")
+        println(TextReport.write(report))
+    }
 }
 
 private class MeasureCost :
--- a/bench/src/main/kotlin/org/hyssoprack/bench/ExperimentRunner.kt
+++ b/bench/src/main/kotlin/org/hyssoprack/bench/ExperimentRunner.kt
@@ -21,9 +21,18 @@
 import org.hyssoprack.bench.report.ExperimentReport
 import org.hyssoprack.bench.report.VariantReport
 import org.hyssoprack.bench.report.VariantSummary
+import org.hyssoprack.burn.BurnReport
 
-/** Runs the variants of an experiment one after another, each on a fresh deployment. */
-class ExperimentRunner(private val experiment: Experiment, private val directory: Path) {
+/**
+ * Runs the variants of an experiment one after another, each on a fresh deployment.
+ *
+ * @param onBurn takes the hosts' own report on service-level burn at the end of each variant.
+ */
+class ExperimentRunner(
+    private val experiment: Experiment,
+    private val directory: Path,
+    private val onBurn: (Variant, BurnReport) -> Unit = { _, _ -> }
+) {
     private val capacity = FleetCapacity(experiment)
     private val summary = VariantSummary(experiment, capacity)
 
@@ -52,6 +61,7 @@
             val records = runBlocking { load(it, variant) }
             val cpu = cpuMs(it.hosts).mapValues { (name, ms) -> ms - cpuBefore.getValue(name) }
             Thread.sleep(SETTLE_MS)
+            it.burn()?.let { burn -> onBurn(variant, burn) }
             return summary.of(
                 variant = variant.name,
                 records = records,
--- /dev/null
+++ b/bench/src/main/kotlin/org/hyssoprack/bench/deployment/BurnCollector.kt
@@ -0,0 +1,42 @@
+package org.hyssoprack.bench.deployment
+
+import java.io.IOException
+import java.net.URI
+import java.net.http.HttpClient
+import java.net.http.HttpRequest
+import java.net.http.HttpResponse
+import java.time.Duration
+import kotlinx.serialization.json.Json
+import org.hyssoprack.bench.load.AccountKeys
+import org.hyssoprack.burn.BurnReport
+import org.hyssoprack.burn.BurnSnapshot
+
+/** Reads the counts of all hosts and makes one report on service-level burn of them. */
+internal class BurnCollector(private val operators: List<String>) {
+    private val http = HttpClient.newHttpClient()
+
+    /** The report; hosts that do not answer are listed as missing. Null if none answers. */
+    fun collect(): BurnReport? {
+        val byHost = operators.associateWith(::snapshot)
+        val merged = BurnSnapshot.merge(byHost.values.filterNotNull()) ?: return null
+        return BurnReport.of(merged, missing = byHost.filterValues { it == null }.keys.toList())
+    }
+
+    private fun snapshot(operator: String): BurnSnapshot? {
+        val request = HttpRequest.newBuilder(URI("http://$operator/v1/burn"))
+            .timeout(Duration.ofSeconds(TIMEOUT_S))
+            .header("Authorization", "Bearer ${AccountKeys.key(HostFleet.OPERATORS.first())}")
+            .build()
+        return try {
+            val response = http.send(request, HttpResponse.BodyHandlers.ofString())
+            if (response.statusCode() == OK) Json.decodeFromString(response.body()) else null
+        } catch (_: IOException) {
+            null
+        }
+    }
+
+    private companion object {
+        const val TIMEOUT_S = 5L
+        const val OK = 200
+    }
+}
--- a/bench/src/main/kotlin/org/hyssoprack/bench/deployment/Deployment.kt
+++ b/bench/src/main/kotlin/org/hyssoprack/bench/deployment/Deployment.kt
@@ -3,6 +3,7 @@
 import java.nio.file.Path
 import kotlin.io.path.createDirectories
 import org.hyssoprack.bench.load.CallerTarget
+import org.hyssoprack.burn.BurnReport
 import org.hyssoprack.platform.BackendServer
 import org.hyssoprack.standins.engine.EngineFaults
 import org.hyssoprack.standins.engine.EngineSettings
@@ -41,6 +42,9 @@
         return alive.firstNotNullOfOrNull { HostDirectory.read(it) } ?: emptyList()
     }
 
+    /** Report on service-level burn of all hosts that are alive; null if none answers. */
+    fun burn(): BurnReport? = BurnCollector(hostFleet.operators).collect()
+
     /** Switches [faults] on, on the engine with this name. */
     fun setFaults(engine: String, faults: EngineFaults) {
         val server = servers.first { it.id.value == engine }
