--- a/core/settings/src/main/kotlin/org/hyssoprack/settings/BodyFetch.kt
+++ b/core/settings/src/main/kotlin/org/hyssoprack/settings/BodyFetch.kt
@@ -52,11 +52,6 @@
         rejected = true
     }
 
-    /** Makes the next attempt due at once. */
-    fun attemptFailed(nowMs: Long) {
-        nextAtMs = minOf(nextAtMs, nowMs + STORE_PAUSE_MS)
-    }
-
     /** The attempt that is due at [nowMs], if any. */
     fun due(nowMs: Long): RolloutAction? {
         val wanted = version ?: return null
@@ -66,7 +61,7 @@
         val asksPeer = peer != null && (known == null || attempts % TURN != TURN - 1)
         if (!asksPeer && known == null) return null
         attempts++
-        nextAtMs = nowMs + if (asksPeer) PEER_TIMEOUT_MS else STORE_TIMEOUT_MS
+        nextAtMs = nowMs + ATTEMPT_PERIOD_MS
         if (asksPeer) return RolloutAction.Send(peer, BundleMessage.Fetch(wanted))
         return RolloutAction.GetBody(wanted, known!!)
     }
@@ -82,9 +77,8 @@
     }
 
     private companion object {
-        const val PEER_TIMEOUT_MS = 300L
-        const val STORE_TIMEOUT_MS = 1_000L
-        const val STORE_PAUSE_MS = 200L
+        /** A slow answer does not hold up the next attempt; the first body that arrives is used. */
+        const val ATTEMPT_PERIOD_MS = 300L
 
         /** Of so many attempts one goes to the object store, the others to peers. */
         const val TURN = 3
--- a/core/settings/src/main/kotlin/org/hyssoprack/settings/BundleHistory.kt
+++ b/core/settings/src/main/kotlin/org/hyssoprack/settings/BundleHistory.kt
@@ -12,7 +12,7 @@
  * from it, so each version stands in the accepted row or here.
  */
 internal class BundleHistory(private val table: TableService, private val writer: RowWriter) {
-    /** Makes sure that [bundle] has its row. */
+    /** Makes sure that [bundle] has its row, and drops the row that has become too old. */
     suspend fun keep(bundle: AcceptedBundle): Either<Failure, Unit> = either {
         val key = BundleRows.history(bundle.version)
         when (val result = writer.write(key, 0, BundleRows.encode(bundle)) { true }) {
@@ -20,6 +20,14 @@
             is WriteResult.Undecided -> raise(result.failure)
             is WriteResult.Applied, is WriteResult.Conflict -> Unit
         }
+        dropBefore(bundle.version)
+    }
+
+    private suspend fun dropBefore(version: BundleVersion) {
+        val oldest = BundleVersion(version.value - MAX_ROWS)
+        if (oldest <= BundleVersion.NONE) return
+        // Rows of the history are written once; a row that stays by a lost reply does no harm.
+        table.compareAndDelete(BundleRows.history(oldest), expected = 1)
     }
 
     /** The bundle with [version], given the [current] one; null if there is none. */
@@ -29,13 +37,21 @@
     ): Either<Failure, AcceptedBundle?> = either {
         if (current == null || version > current.version) return@either null
         if (version == current.version) return@either current
-        table.read(BundleRows.history(version)).bind()?.let { BundleRows.accepted(it) }
+        table.read(BundleRows.history(version)).bind()
+            ?.let { BundleRows.accepted(it).bind() }
     }
 
     /** [current] and all versions before it, the newest first. */
     suspend fun before(current: AcceptedBundle): Either<Failure, List<AcceptedBundle>> = either {
         val rows = table.scan(BundleRows.HISTORY_TABLE, prefix = "").bind()
-        val former = rows.map { BundleRows.accepted(it) }.filter { it.version < current.version }
+        val former = rows.map { BundleRows.accepted(it).bind() }.filter {
+            it.version <
+                current.version
+        }
         listOf(current) + former.sortedByDescending { it.version }
     }
+
+    private companion object {
+        const val MAX_ROWS = 1_000L
+    }
 }
--- a/core/settings/src/main/kotlin/org/hyssoprack/settings/BundleReader.kt
+++ b/core/settings/src/main/kotlin/org/hyssoprack/settings/BundleReader.kt
@@ -17,6 +17,10 @@
     /** The bundle as far as it could be read; incomplete if there are [faults]. */
     fun read(json: String): Bundle {
         val empty = Bundle(policy = "", accounts = emptyList())
+        if (JsonDepth.of(json) > MAX_DEPTH) {
+            fault("$", "the JSON nests deeper than $MAX_DEPTH levels")
+            return empty
+        }
         val root = parse(json) ?: return empty
         if (root !is JsonObject) {
             fault("$", "found ${kind(root)}; expected an object")
@@ -99,6 +103,7 @@
 
     private companion object {
         const val SHOWN_CHARS = 40
+        const val MAX_DEPTH = 16
         val HASH = Regex("[0-9a-f]{64}")
     }
 }
--- a/core/settings/src/main/kotlin/org/hyssoprack/settings/BundleRows.kt
+++ b/core/settings/src/main/kotlin/org/hyssoprack/settings/BundleRows.kt
@@ -1,8 +1,15 @@
 package org.hyssoprack.settings
 
+import arrow.core.Either
+import arrow.core.left
+import arrow.core.right
+import kotlinx.serialization.KSerializer
+import kotlinx.serialization.SerializationException
 import kotlinx.serialization.json.Json
 import org.hyssoprack.common.BundleVersion
 import org.hyssoprack.common.ContentHash
+import org.hyssoprack.common.Failure
+import org.hyssoprack.common.ResultCode
 import org.hyssoprack.platform.Row
 import org.hyssoprack.platform.RowKey
 
@@ -32,9 +39,15 @@
     internal fun encode(proposal: Proposal): String =
         json.encodeToString(Proposal.serializer(), proposal)
 
-    internal fun accepted(row: Row): AcceptedBundle =
-        json.decodeFromString(AcceptedBundle.serializer(), row.value)
+    internal fun accepted(row: Row): Either<Failure, AcceptedBundle> =
+        decode(row, AcceptedBundle.serializer())
 
-    internal fun proposal(row: Row): Proposal =
-        json.decodeFromString(Proposal.serializer(), row.value)
+    internal fun proposal(row: Row): Either<Failure, Proposal> = decode(row, Proposal.serializer())
+
+    private fun <T> decode(row: Row, serializer: KSerializer<T>): Either<Failure, T> = try {
+        json.decodeFromString(serializer, row.value).right()
+    } catch (e: SerializationException) {
+        val detail = "row ${row.key.table}/${row.key.key} cannot be read: ${e.message}"
+        Failure(ResultCode.INTERNAL, detail).left()
+    }
 }
--- a/core/settings/src/main/kotlin/org/hyssoprack/settings/DefaultBundleHolder.kt
+++ b/core/settings/src/main/kotlin/org/hyssoprack/settings/DefaultBundleHolder.kt
@@ -1,6 +1,6 @@
 package org.hyssoprack.settings
 
-import java.security.MessageDigest
+import arrow.core.raise.either
 import kotlin.random.Random
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.channels.Channel
@@ -90,7 +90,6 @@
             is RolloutEvent.RowRead -> rollout.rowRead(event.startedAtMs, event.row)
             is RolloutEvent.RowFailed -> rollout.rowFailed(clock.nowMs())
             is RolloutEvent.BodyRead -> bodyArrived(event.ref, event.json)
-            is RolloutEvent.BodyFailed -> rollout.fetchFailed(clock.nowMs())
         }
         rollout.tick(clock.nowMs()).forEach { run(it) }
         publish()
@@ -118,7 +117,7 @@
 
     private fun bodyArrived(ref: BundleRef, json: String) {
         if (!rollout.wants(ref)) return
-        if (sha256(json) != ref.hash) {
+        if (ContentHash.of(json) != ref.hash) {
             log.event("bundle-body-corrupt", "version" eq ref.version, "hash" eq ref.hash)
             return
         }
@@ -149,29 +148,25 @@
         when (action) {
             is RolloutAction.ReadRow -> scope.launch { post(readRow()) }
             is RolloutAction.Send -> sendToPeer(action.peer, action.message)
-            is RolloutAction.GetBody -> scope.launch { post(getBody(action)) }
+            is RolloutAction.GetBody -> scope.launch { getBody(action) }
         }
     }
 
     private suspend fun readRow(): RolloutEvent {
         val startedAtMs = clock.nowMs()
-        return table.read(BundleRows.ACCEPTED).fold(
+        val result = either {
+            table.read(BundleRows.ACCEPTED).bind()?.let { BundleRows.accepted(it).bind() }
+        }
+        return result.fold(
             ifLeft = { RolloutEvent.RowFailed },
-            ifRight = { row ->
-                RolloutEvent.RowRead(startedAtMs, row?.let { BundleRows.accepted(it) })
-            }
+            ifRight = { RolloutEvent.RowRead(startedAtMs, it) }
         )
     }
 
-    private suspend fun getBody(action: RolloutAction.GetBody): RolloutEvent {
-        val bytes = objects.get(action.hash).getOrNull() ?: return RolloutEvent.BodyFailed
+    private suspend fun getBody(action: RolloutAction.GetBody) {
+        val bytes = objects.get(action.hash).getOrNull() ?: return
         val ref = BundleRef(action.version, action.hash)
-        return RolloutEvent.BodyRead(ref, bytes.decodeToString())
-    }
-
-    private fun sha256(json: String): ContentHash {
-        val digest = MessageDigest.getInstance("SHA-256").digest(json.encodeToByteArray())
-        return ContentHash(digest.joinToString("") { "%02x".format(it) })
+        post(RolloutEvent.BodyRead(ref, bytes.decodeToString()))
     }
 
     private companion object {
--- a/core/settings/src/main/kotlin/org/hyssoprack/settings/DefaultBundleService.kt
+++ b/core/settings/src/main/kotlin/org/hyssoprack/settings/DefaultBundleService.kt
@@ -8,6 +8,7 @@
 import arrow.core.raise.ensure
 import arrow.core.right
 import java.util.UUID
+import kotlinx.coroutines.delay
 import org.hyssoprack.common.BundleVersion
 import org.hyssoprack.common.ContentHash
 import org.hyssoprack.common.EventLog
@@ -27,6 +28,7 @@
  *   only through a host that reaches at least half of them, so that any host that reaches as many
  *   has a peer in common with it.
  * @param onAccepted called after a bundle was accepted through this host.
+ * @param pause waits for so many milliseconds between attempts to settle a lost reply.
  */
 class DefaultBundleService(
     private val table: TableService,
@@ -35,9 +37,10 @@
     private val compiler: BundleCompiler = BundleCompiler(),
     private val peersReachable: () -> Double = { 1.0 },
     private val onAccepted: (AcceptedBundle) -> Unit = {},
-    private val newChangeId: () -> String = { UUID.randomUUID().toString() }
+    private val newChangeId: () -> String = { UUID.randomUUID().toString() },
+    pause: suspend (Long) -> Unit = { delay(it) }
 ) : BundleService {
-    private val writer = RowWriter(table)
+    private val writer = RowWriter(table, pause)
     private val history = BundleHistory(table, writer)
 
     override suspend fun propose(
@@ -60,7 +63,7 @@
         either {
             repeat(MAX_COLLISIONS) {
                 val row = proposalRow(hash)
-                val proposal = BundleRows.proposal(row)
+                val proposal = BundleRows.proposal(row).bind()
                 ensure(proposal.proposedBy != operator) {
                     val detail = "$operator proposed the bundle; another operator must sign it off"
                     Failure(ResultCode.SIGN_OFF_SELF, detail)
@@ -68,7 +71,7 @@
                 if (operator in proposal.signedOffBy) return@either
                 val signed = proposal.copy(signedOffBy = proposal.signedOffBy + operator)
                 val result = writer.write(row.key, row.revision, BundleRows.encode(signed)) {
-                    operator in BundleRows.proposal(it).signedOffBy
+                    operator in BundleRows.proposal(it).getOrNull()?.signedOffBy.orEmpty()
                 }
                 raiseUnlessDecided(result, "sign-off", hash)
                 if (result is WriteResult.Applied) {
@@ -86,7 +89,7 @@
     ): Either<Failure, BundleVersion> = either {
         ensureSignedOff(hash)
         val row = table.read(BundleRows.ACCEPTED).bind()
-        val current = row?.let { BundleRows.accepted(it) }
+        val current = row?.let { BundleRows.accepted(it).bind() }
         if ((current?.version ?: BundleVersion.NONE) != base) {
             return@either earlier(operator, hash, base, current)
         }
@@ -109,7 +112,7 @@
 
     override suspend fun history(): Either<Failure, List<AcceptedBundle>> = either {
         val row = table.read(BundleRows.ACCEPTED).bind()
-        val current = row?.let { BundleRows.accepted(it) } ?: return@either emptyList()
+        val current = row?.let { BundleRows.accepted(it).bind() } ?: return@either emptyList()
         history.before(current).bind()
     }
 
@@ -117,7 +120,7 @@
         table.read(BundleRows.proposal(hash)).bind() ?: raise(unknown(hash))
 
     private suspend fun Raise<Failure>.ensureSignedOff(hash: ContentHash) {
-        val proposal = BundleRows.proposal(proposalRow(hash))
+        val proposal = BundleRows.proposal(proposalRow(hash)).bind()
         ensure(proposal.signedOffBy.isNotEmpty()) {
             val detail = "${proposal.proposedBy} proposed $hash; nobody else has signed it off"
             Failure(ResultCode.SIGN_OFF_MISSING, detail)
@@ -134,12 +137,15 @@
     private suspend fun Raise<Failure>.move(row: Row?, next: AcceptedBundle) {
         val revision = row?.revision ?: 0
         val result = writer.write(BundleRows.ACCEPTED, revision, BundleRows.encode(next)) {
-            BundleRows.accepted(it).changeId == next.changeId
+            BundleRows.accepted(it).getOrNull()?.changeId == next.changeId
         }
         raiseUnlessDecided(result, "accept", next.hash)
         if (result !is WriteResult.Conflict) return
-        val current = result.current?.let { BundleRows.accepted(it) }
-        val taken = history.version(next.version, current).bind()
+        val current = result.current?.let { BundleRows.accepted(it).bind() }
+        // The write may have taken effect and have been replaced since, so a failed look is undecided.
+        val taken = history.version(next.version, current)
+            .mapLeft { undecided(it, "accept", next.hash) }
+            .bind()
         if (taken?.changeId != next.changeId) raise(conflict(next.version, taken, current))
     }
 
@@ -161,11 +167,14 @@
         hash: ContentHash
     ) {
         if (result is WriteResult.Refused) raise(result.failure)
-        if (result !is WriteResult.Undecided) return
+        if (result is WriteResult.Undecided) raise(undecided(result.failure, step, hash))
+    }
+
+    private fun undecided(cause: Failure, step: String, hash: ContentHash): Failure {
         log.event("bundle-undecided", "step" eq step, "hash" eq hash)
-        val detail = "the reply to the $step of $hash was lost (${result.failure.detail}); " +
-            "it may still take effect: look at the history, or repeat the same step"
-        raise(Failure(ResultCode.OUTCOME_UNDECIDED, detail))
+        val detail = "whether the $step of $hash took effect is not known (${cause.detail}); " +
+            "it may still do so: look at the history, or repeat the same step"
+        return Failure(ResultCode.OUTCOME_UNDECIDED, detail)
     }
 
     private fun conflict(
--- a/core/settings/src/main/kotlin/org/hyssoprack/settings/Rollout.kt
+++ b/core/settings/src/main/kotlin/org/hyssoprack/settings/Rollout.kt
@@ -62,8 +62,7 @@
         version = activeVersion(),
         hash = active?.hash,
         confirmedAgoMs = currency.provedAtMs?.let { nowMs - it },
-        settled = currency.isProved(nowMs) ||
-            Currency.isFresh(contactAtMs, nowMs, Currency.WITNESS_TERM_MS)
+        settled = isWitness(nowMs)
     )
 
     fun stateFrom(peer: HostId, state: BundleMessage.State) {
@@ -85,8 +84,6 @@
         return fetch.hash == null || fetch.hash == ref.hash
     }
 
-    fun fetchFailed(nowMs: Long) = fetch.attemptFailed(nowMs)
-
     /** The body of the wanted version cannot be compiled here. */
     fun rejected() = fetch.reject()
 
@@ -102,6 +99,13 @@
         return sample().map { RolloutAction.Send(it, state(sequence = 0, nowMs = nowMs)) }
     }
 
+    private fun isWitness(nowMs: Long): Boolean {
+        // A host that knows of a newer version must not speak for the older one.
+        if (fetch.version != null) return false
+        val hasContact = Currency.isFresh(contactAtMs, nowMs, Currency.WITNESS_TERM_MS)
+        return hasContact || currency.isProved(nowMs)
+    }
+
     private fun proved(ref: BundleRef, atMs: Long) {
         val known = active
         if (known != null && ref.version < known.version) return
--- a/core/settings/src/main/kotlin/org/hyssoprack/settings/RolloutEvent.kt
+++ b/core/settings/src/main/kotlin/org/hyssoprack/settings/RolloutEvent.kt
@@ -18,6 +18,4 @@
     data object RowFailed : RolloutEvent
 
     data class BodyRead(val ref: BundleRef, val json: String) : RolloutEvent
-
-    data object BodyFailed : RolloutEvent
 }
--- a/core/settings/src/main/kotlin/org/hyssoprack/settings/RowWriter.kt
+++ b/core/settings/src/main/kotlin/org/hyssoprack/settings/RowWriter.kt
@@ -14,7 +14,10 @@
  * can take effect, and a conflict shows the row as it is. A plain read would not do, since the first
  * write may still be on its way.
  */
-internal class RowWriter(private val table: TableService) {
+internal class RowWriter(
+    private val table: TableService,
+    private val pause: suspend (Long) -> Unit = { delay(it) }
+) {
     /**
      * Writes [value] if the revision is [expected]. [isOurs] tells whether a row that is found
      * instead stems from this very write. Never returns a conflict for a write that took effect and
@@ -28,7 +31,7 @@
     ): WriteResult {
         var lost: Failure? = null
         for (pauseMs in PAUSES_MS) {
-            delay(pauseMs)
+            if (pauseMs > 0) pause(pauseMs)
             when (val result = table.compareAndSet(key, expected, value)) {
                 is WriteResult.Applied -> return result
 
