Add the operators' and callers' command

Cause: operators need to propose, compare, sign off and accept bundles, see hosts and backend servers, drain hosts and read the burn report.

--- /dev/null
+++ b/cli/src/main/kotlin/org/hyssoprack/cli/OperatorApi.kt
@@ -0,0 +1,111 @@
+package org.hyssoprack.cli
+
+import arrow.core.Either
+import arrow.core.left
+import arrow.core.right
+import io.ktor.client.HttpClient
+import io.ktor.client.engine.cio.CIO
+import io.ktor.client.plugins.HttpTimeout
+import io.ktor.client.request.bearerAuth
+import io.ktor.client.request.request
+import io.ktor.client.request.setBody
+import io.ktor.client.statement.bodyAsText
+import io.ktor.http.HttpMethod
+import io.ktor.http.isSuccess
+import java.io.IOException
+import java.net.ConnectException
+import kotlinx.serialization.SerializationException
+import kotlinx.serialization.json.Json
+import org.hyssoprack.common.Failure
+import org.hyssoprack.common.NetworkAddress
+import org.hyssoprack.common.ResultCode
+
+/**
+ * Operators' API of the hosts at [addresses]. A call goes to the next host if one cannot be reached
+ * or is isolated; a call whose answer is lost is not sent again.
+ */
+internal class OperatorApi(private val addresses: List<NetworkAddress>, private val key: String) :
+    AutoCloseable {
+    private val http = HttpClient(CIO) {
+        expectSuccess = false
+        install(HttpTimeout) {
+            connectTimeoutMillis = CONNECT_TIMEOUT_MS
+            requestTimeoutMillis = REQUEST_TIMEOUT_MS
+        }
+    }
+
+    suspend fun get(path: String): Either<Failure, String> = firstAnswer(HttpMethod.Get, path, null)
+
+    suspend fun post(path: String, body: String = ""): Either<Failure, String> =
+        firstAnswer(HttpMethod.Post, path, body)
+
+    /** Asks the host at [address] alone. */
+    suspend fun getFrom(address: NetworkAddress, path: String): Either<Failure, String> =
+        send(address, HttpMethod.Get, path, null)
+
+    override fun close() = http.close()
+
+    private suspend fun firstAnswer(
+        method: HttpMethod,
+        path: String,
+        body: String?
+    ): Either<Failure, String> {
+        var last = Failure(ResultCode.HOST_UNREACHABLE, "no host is named").left()
+        for (address in addresses) {
+            val result = send(address, method, path, body)
+            val code = result.leftOrNull()?.code ?: return result
+            if (code !in TRY_NEXT) return result
+            last = result.leftOrNull()!!.left()
+        }
+        return last
+    }
+
+    private suspend fun send(
+        address: NetworkAddress,
+        method: HttpMethod,
+        path: String,
+        body: String?
+    ): Either<Failure, String> = try {
+        val response = http.request("http://$address$path") {
+            this.method = method
+            bearerAuth(key)
+            if (body != null) setBody(body)
+        }
+        val text = response.bodyAsText()
+        if (response.status.isSuccess()) text.right() else failure(text, address).left()
+    } catch (e: ConnectException) {
+        unreachable(address, e).left()
+    } catch (e: IOException) {
+        lost(address, method, e).left()
+    }
+
+    private fun lost(address: NetworkAddress, method: HttpMethod, e: IOException): Failure {
+        // Ktor's connect timeout is no ConnectException, yet nothing was sent then, either.
+        val isConnect = e::class.simpleName == "ConnectTimeoutException"
+        if (method == HttpMethod.Get || isConnect) return unreachable(address, e)
+        val detail = "the answer of $address was lost (${e.message}); look at the history, " +
+            "or repeat the same command, which is safe"
+        return Failure(ResultCode.OUTCOME_UNDECIDED, detail)
+    }
+
+    private fun unreachable(address: NetworkAddress, e: IOException) =
+        Failure(ResultCode.HOST_UNREACHABLE, "$address cannot be reached: ${e.message}")
+
+    private fun failure(text: String, address: NetworkAddress): Failure = try {
+        val body = JSON.decodeFromString<ErrorBody>(text)
+        Failure(
+            code = ResultCode.ofNumber(body.number) ?: ResultCode.INTERNAL,
+            detail = body.detail,
+            retryAfterMs = body.retryAfterMs
+        )
+    } catch (e: SerializationException) {
+        Failure(ResultCode.INTERNAL, "$address gave an error of no known form: ${e.message}")
+    }
+
+    private companion object {
+        const val CONNECT_TIMEOUT_MS = 2_000L
+        const val REQUEST_TIMEOUT_MS = 20_000L
+        val TRY_NEXT = setOf(ResultCode.HOST_UNREACHABLE, ResultCode.HOST_ISOLATED)
+        val JSON = Json { ignoreUnknownKeys = true }
+    }
+}
