Let a stopping host pass a retry on only if it cannot have run here

Cause: a host that drains passed every request on and noted "left to the peer" over what it remembered of the id. A retry of a request that had run here was run again by the peer. After: a request is passed on under the same rule by which a peer may take it over; the registry's cases that used the other way use this one and pass with the same expectations.

--- a/daemon/src/main/kotlin/org/hyssoprack/daemon/PeerRelay.kt
+++ b/daemon/src/main/kotlin/org/hyssoprack/daemon/PeerRelay.kt
@@ -46,7 +46,7 @@
             val failure = Failure(ResultCode.HOST_STOPPING, "No other host is known.")
             return call.respondFailure(failure)
         }
-        service.passedOn(request.id, peer.ref)
+        service.passOn(request.id, peer.ref).onLeft { return call.respondFailure(it) }
         log.event("passed-on", "request" eq request.id, "to" eq peer.ref)
         try {
             relay(call, request, peer)
--- a/host/src/main/kotlin/org/hyssoprack/host/RequestRegistry.kt
+++ b/host/src/main/kotlin/org/hyssoprack/host/RequestRegistry.kt
@@ -44,12 +44,7 @@
         put(ticket.id, if (mayHaveRun) AttemptState.MayHaveRun else AttemptState.NotRun)
     }
 
-    /** Notes that [host] runs the request instead of this one, which sent nothing of it. */
-    suspend fun leaveTo(id: RequestId, host: HostId): Unit = mutex.withLock {
-        put(id, AttemptState.LeftTo(host))
-    }
-
-    /** Answers a peer that wants to run the request [id] itself. */
+    /** Leaves the request [id] to [host] if the attempt here has not run and never will. */
     suspend fun giveUpTo(id: RequestId, host: HostId): GiveUpResult = mutex.withLock {
         val given = when (val state = attempts[id]?.state) {
             null, AttemptState.NotRun -> true
--- a/host/src/main/kotlin/org/hyssoprack/host/RequestService.kt
+++ b/host/src/main/kotlin/org/hyssoprack/host/RequestService.kt
@@ -3,6 +3,7 @@
 import arrow.core.Either
 import arrow.core.left
 import arrow.core.raise.either
+import arrow.core.right
 import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.NonCancellable
 import kotlinx.coroutines.channels.ReceiveChannel
@@ -66,8 +67,15 @@
         return earlierOutcome(request, failure)
     }
 
-    /** Ends an attempt here that a peer runs instead. */
-    suspend fun passedOn(id: RequestId, to: HostRef) = registry.leaveTo(id, to.host)
+    /**
+     * Leaves a request to a peer that shall run it instead. Fails with FIRST_ATTEMPT_UNKNOWN if an
+     * attempt may have run here.
+     */
+    suspend fun passOn(id: RequestId, to: HostRef): Either<Failure, Unit> {
+        if (registry.giveUpTo(id, to.host) == GiveUpResult.GIVEN_UP) return Unit.right()
+        val detail = "An earlier attempt may have run through this host."
+        return Failure(ResultCode.FIRST_ATTEMPT_UNKNOWN, detail).left()
+    }
 
     private suspend fun attempt(
         request: AdmittedRequest,
--- a/host/src/test/kotlin/org/hyssoprack/host/RequestRegistryTest.kt
+++ b/host/src/test/kotlin/org/hyssoprack/host/RequestRegistryTest.kt
@@ -52,13 +52,13 @@
         ),
         Case(
             name = "left to the same peer",
-            before = { leaveTo(id, peer) },
+            before = { giveUpTo(id, peer) },
             begins = false,
             toPeer = GiveUpResult.GIVEN_UP
         ),
         Case(
             name = "left to another peer",
-            before = { leaveTo(id, stranger) },
+            before = { giveUpTo(id, stranger) },
             begins = false,
             toPeer = GiveUpResult.MAY_HAVE_RUN
         )
--- /dev/null
+++ b/testing/integration/src/test/kotlin/org/hyssoprack/integration/cases/PromiseCase.kt
@@ -0,0 +1,13 @@
+package org.hyssoprack.integration.cases
+
+import kotlinx.coroutines.CoroutineScope
+import org.hyssoprack.integration.SharedDeployment
+import org.hyssoprack.integration.audit.Promise
+
+/** One case that shows a promise under [faults]; [run] asserts what callers are told. */
+internal class PromiseCase(
+    val promise: Promise,
+    val faults: Set<Fault>,
+    val name: String,
+    val run: suspend CoroutineScope.(SharedDeployment) -> Unit
+)
--- /dev/null
+++ b/testing/integration/src/test/kotlin/org/hyssoprack/integration/cases/PromiseTable.kt
@@ -0,0 +1,26 @@
+package org.hyssoprack.integration.cases
+
+import org.hyssoprack.integration.audit.Promise
+
+/** All cases, and the page that maps promises and faults to them. */
+internal object PromiseTable {
+    val cases: List<PromiseCase> = WholeAnswerCases.all + RunsOnceCases.all + NotRunCases.all +
+        TierCases.all + ChangeCases.all + BundleCases.all
+
+    /** The map as Markdown; empty cells have no case of their own. */
+    fun markdown(): String {
+        val head = "| promise | " + Fault.entries.joinToString(" | ") { it.title } + " |"
+        val line = "|" + "---|".repeat(Fault.entries.size + 1)
+        val rows = Promise.entries.map { promise ->
+            "| ${promise.title} | " + Fault.entries.joinToString(" | ") { cell(promise, it) } + " |"
+        }
+        return (listOf(head, line) + rows).joinToString("\n")
+    }
+
+    /** The cases with their numbers as a Markdown list. */
+    fun list(): String = cases.mapIndexed { i, case -> "${i + 1}. ${case.name}" }.joinToString("\n")
+
+    private fun cell(promise: Promise, fault: Fault): String = cases.withIndex()
+        .filter { it.value.promise == promise && fault in it.value.faults }
+        .joinToString(", ") { "${it.index + 1}" }
+}
