Keep error bodies and header names of the APIs in one place

Cause: daemon, client and command each had their own copy of the error body, and daemon and client of the header names.

--- a/cli/src/main/kotlin/org/hyssoprack/cli/OperatorApi.kt
+++ b/cli/src/main/kotlin/org/hyssoprack/cli/OperatorApi.kt
@@ -14,8 +14,7 @@
 import io.ktor.http.isSuccess
 import java.io.IOException
 import java.net.ConnectException
-import kotlinx.serialization.SerializationException
-import kotlinx.serialization.json.Json
+import org.hyssoprack.common.ErrorBody
 import org.hyssoprack.common.Failure
 import org.hyssoprack.common.NetworkAddress
 import org.hyssoprack.common.ResultCode
@@ -72,7 +71,7 @@
             if (body != null) setBody(body)
         }
         val text = response.bodyAsText()
-        if (response.status.isSuccess()) text.right() else failure(text, address).left()
+        if (response.status.isSuccess()) text.right() else ErrorBody.read(text).left()
     } catch (e: ConnectException) {
         unreachable(address, e).left()
     } catch (e: IOException) {
@@ -91,21 +90,9 @@
     private fun unreachable(address: NetworkAddress, e: IOException) =
         Failure(ResultCode.HOST_UNREACHABLE, "$address cannot be reached: ${e.message}")
 
-    private fun failure(text: String, address: NetworkAddress): Failure = try {
-        val body = JSON.decodeFromString<ErrorBody>(text)
-        Failure(
-            code = ResultCode.ofNumber(body.number) ?: ResultCode.INTERNAL,
-            detail = body.detail,
-            retryAfterMs = body.retryAfterMs
-        )
-    } catch (e: SerializationException) {
-        Failure(ResultCode.INTERNAL, "$address gave an error of no known form: ${e.message}")
-    }
-
     private companion object {
         const val CONNECT_TIMEOUT_MS = 2_000L
         const val REQUEST_TIMEOUT_MS = 20_000L
         val TRY_NEXT = setOf(ResultCode.HOST_UNREACHABLE, ResultCode.HOST_ISOLATED)
-        val JSON = Json { ignoreUnknownKeys = true }
     }
 }
--- a/client/src/main/kotlin/org/hyssoprack/client/HyssoprackClient.kt
+++ b/client/src/main/kotlin/org/hyssoprack/client/HyssoprackClient.kt
@@ -20,7 +20,9 @@
 import kotlinx.coroutines.flow.flow
 import kotlinx.serialization.json.JsonObject
 import kotlinx.serialization.json.JsonPrimitive
+import org.hyssoprack.common.CallerHeaders
 import org.hyssoprack.common.Clock
+import org.hyssoprack.common.ErrorBody
 import org.hyssoprack.common.Failure
 import org.hyssoprack.common.NetworkAddress
 import org.hyssoprack.common.RequestId
@@ -119,8 +121,8 @@
     private fun noAnswer() = Failure(ResultCode.INTERNAL, "the answer is missing")
 
     private suspend fun refusal(response: HttpResponse, id: RequestId): AttemptEnd? {
-        val echoed = response.headers[CallHeaders.REQUEST_ID]
-        val isAnswer = response.headers[CallHeaders.RESULT] != null || response.status.isSuccess()
+        val echoed = response.headers[CallerHeaders.REQUEST_ID]
+        val isAnswer = response.headers[CallerHeaders.RESULT] != null || response.status.isSuccess()
         if (echoed != id.value && (isAnswer || echoed != null)) {
             val detail = "the answer carries the id $echoed"
             return AttemptEnd.Refused(Failure(ResultCode.ANSWER_MISMATCHED, detail))
@@ -159,7 +161,7 @@
         status = response.status.value,
         body = response.readRawBytes(),
         contentType = response.headers[HttpHeaders.ContentType],
-        recorded = response.headers[CallHeaders.RESULT] == RECORDED
+        recorded = response.headers[CallerHeaders.RESULT] == RECORDED
     )
 
     private fun outgoing(call: CompletionCall): OutgoingCall {
--- a/client/src/main/kotlin/org/hyssoprack/client/Sender.kt
+++ b/client/src/main/kotlin/org/hyssoprack/client/Sender.kt
@@ -18,6 +18,7 @@
 import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.TimeoutCancellationException
 import kotlinx.coroutines.withTimeout
+import org.hyssoprack.common.CallerHeaders
 import org.hyssoprack.common.Clock
 import org.hyssoprack.common.Failure
 import org.hyssoprack.common.ResultCode
@@ -71,11 +72,11 @@
             url("http://${attempt.host.address}${outgoing.path}")
             method = HttpMethod.parse(outgoing.method)
             header(HttpHeaders.Authorization, "Bearer $bearerKey")
-            header(CallHeaders.REQUEST_ID, attempt.id.value)
-            if (attempt.isFirst) header(CallHeaders.ATTEMPT, "1")
-            header(CallHeaders.DEADLINE, remainingMs.toString())
-            outgoing.lane?.let { header(CallHeaders.LANE, it) }
-            outgoing.idempotencyKey?.let { header(CallHeaders.IDEMPOTENCY_KEY, it.value) }
+            header(CallerHeaders.REQUEST_ID, attempt.id.value)
+            if (attempt.isFirst) header(CallerHeaders.ATTEMPT, "1")
+            header(CallerHeaders.DEADLINE, remainingMs.toString())
+            outgoing.lane?.let { header(CallerHeaders.LANE, it) }
+            outgoing.idempotencyKey?.let { header(CallerHeaders.IDEMPOTENCY_KEY, it.value) }
             body(outgoing)
         }
 
--- a/client/src/main/kotlin/org/hyssoprack/client/StreamCheck.kt
+++ b/client/src/main/kotlin/org/hyssoprack/client/StreamCheck.kt
@@ -8,6 +8,7 @@
 import kotlinx.serialization.json.JsonObject
 import kotlinx.serialization.json.JsonPrimitive
 import kotlinx.serialization.json.intOrNull
+import org.hyssoprack.common.ErrorBody
 import org.hyssoprack.common.Failure
 import org.hyssoprack.common.RequestId
 import org.hyssoprack.common.ResultCode
--- /dev/null
+++ b/core/common/src/main/kotlin/org/hyssoprack/common/CallerHeaders.kt
@@ -0,0 +1,28 @@
+package org.hyssoprack.common
+
+/** Names of the HTTP headers of the callers' API. */
+object CallerHeaders {
+    /** Id of the request, on requests and answers. */
+    const val REQUEST_ID = "X-Request-Id"
+
+    /** `1` on a request whose id was never sent before. */
+    const val ATTEMPT = "X-Attempt"
+
+    /** Time in which the answer must be complete, in milliseconds. */
+    const val DEADLINE = "X-Deadline-Ms"
+
+    /** Kind of work, for routes that tell an account's kinds of work apart. */
+    const val LANE = "X-Lane"
+
+    /** Key of a call that may not be repeated. */
+    const val IDEMPOTENCY_KEY = "Idempotency-Key"
+
+    /** On answers: version of the settings bundle under which the request was served. */
+    const val BUNDLE = "X-Bundle-Version"
+
+    /** On answers: the host incarnation that answered. */
+    const val HOST = "X-Host"
+
+    /** On answers of plain services: number of the result code. */
+    const val RESULT = "X-Result-Code"
+}
--- a/daemon/src/main/kotlin/org/hyssoprack/daemon/CallerServer.kt
+++ b/daemon/src/main/kotlin/org/hyssoprack/daemon/CallerServer.kt
@@ -17,6 +17,7 @@
 import io.ktor.server.routing.get
 import io.ktor.server.routing.route
 import io.ktor.server.routing.routing
+import org.hyssoprack.common.CallerHeaders
 import org.hyssoprack.common.Failure
 import org.hyssoprack.common.HostRef
 import org.hyssoprack.common.NetworkAddress
--- a/daemon/src/main/kotlin/org/hyssoprack/daemon/CompletionResponder.kt
+++ b/daemon/src/main/kotlin/org/hyssoprack/daemon/CompletionResponder.kt
@@ -9,6 +9,7 @@
 import kotlinx.coroutines.channels.ReceiveChannel
 import kotlinx.coroutines.coroutineScope
 import kotlinx.coroutines.launch
+import org.hyssoprack.common.ErrorBody
 import org.hyssoprack.common.Failure
 import org.hyssoprack.common.ResultCode
 import org.hyssoprack.host.AdmittedRequest
--- a/daemon/src/main/kotlin/org/hyssoprack/daemon/HttpAnswers.kt
+++ b/daemon/src/main/kotlin/org/hyssoprack/daemon/HttpAnswers.kt
@@ -9,6 +9,7 @@
 import io.ktor.server.response.respondText
 import kotlinx.serialization.encodeToString
 import kotlinx.serialization.json.Json
+import org.hyssoprack.common.ErrorBody
 import org.hyssoprack.common.Failure
 
 private const val BEARER = "Bearer "
--- a/daemon/src/main/kotlin/org/hyssoprack/daemon/PeerRelay.kt
+++ b/daemon/src/main/kotlin/org/hyssoprack/daemon/PeerRelay.kt
@@ -17,6 +17,7 @@
 import io.ktor.server.response.respondBytesWriter
 import io.ktor.utils.io.copyTo
 import java.io.IOException
+import org.hyssoprack.common.CallerHeaders
 import org.hyssoprack.common.EventLog
 import org.hyssoprack.common.Failure
 import org.hyssoprack.common.ResultCode
--- a/daemon/src/main/kotlin/org/hyssoprack/daemon/ServiceResponder.kt
+++ b/daemon/src/main/kotlin/org/hyssoprack/daemon/ServiceResponder.kt
@@ -5,6 +5,7 @@
 import io.ktor.server.application.ApplicationCall
 import io.ktor.server.response.header
 import io.ktor.server.response.respondBytes
+import org.hyssoprack.common.CallerHeaders
 import org.hyssoprack.host.AdmittedRequest
 import org.hyssoprack.host.RequestService
 
