--- a/cli/src/test/kotlin/org/hyssoprack/cli/FakeOperatorServer.kt
+++ b/cli/src/test/kotlin/org/hyssoprack/cli/FakeOperatorServer.kt
@@ -15,6 +15,7 @@
 internal class FakeOperatorServer : AutoCloseable {
     val asked = mutableListOf<String>()
     val bodies = mutableListOf<String>()
+    val keys = mutableListOf<String?>()
     private val answers = HashMap<String, String>()
     private val statuses = HashMap<String, Int>()
 
@@ -23,9 +24,8 @@
             route("{...}") {
                 handle {
                     val name = "${call.request.httpMethod.value} ${call.request.uri}"
-                    synchronized(asked) {
-                        asked += name
-                    }
+                    asked += name
+                    keys += call.request.headers["Authorization"]
                     bodies += call.receiveText()
                     val status = HttpStatusCode.fromValue(statuses[name] ?: 200)
                     call.respondText(answers[name].orEmpty(), status = status)
--- a/cli/src/test/kotlin/org/hyssoprack/cli/HyssoprackTest.kt
+++ b/cli/src/test/kotlin/org/hyssoprack/cli/HyssoprackTest.kt
@@ -97,6 +97,19 @@
         assertThat(errors.toString()).contains("'example.org:80' is not an address")
     }
 
+    @Example
+    fun `options go before variables of the environment`() = withServer { server ->
+        val keyFile = Files.createTempFile("key", ".txt")
+        keyFile.writeText("from-file\n")
+        server.answer("GET /v1/hosts", "[]")
+        val args = "hosts --hosts ${server.address} --key-file $keyFile"
+        assertThat(run(args, hosts = "127.0.0.1:1")).isEqualTo(0)
+        assertThat(server.keys.last()).isEqualTo("Bearer from-file")
+        assertThat(run("hosts", server.address)).isEqualTo(0)
+        assertThat(server.keys.last()).isEqualTo("Bearer secret")
+        Files.delete(keyFile)
+    }
+
     @Example
     fun `check lists the faults of bundles and policies`() {
         val file = Files.createTempFile("bundle", ".hys")
