--- a/bench/src/main/kotlin/org/hyssoprack/bench/deployment/ChildProcess.kt
+++ b/bench/src/main/kotlin/org/hyssoprack/bench/deployment/ChildProcess.kt
@@ -38,14 +38,7 @@
         process.waitFor(KILL_WAIT_S, TimeUnit.SECONDS)
     }
 
-    /** Asks the process to end and makes sure that it does. */
-    fun stop() {
-        process.destroy()
-        if (!process.waitFor(STOP_WAIT_S, TimeUnit.SECONDS)) kill()
-    }
-
     private companion object {
-        const val STOP_WAIT_S = 3L
         const val KILL_WAIT_S = 5L
 
         /** As in bin/hyssoprackd: more threads than these only steal work from each other. */
