Spend less on quiet members and on each link message

A tick of MemberTable looked at all members several times; it now looks at those that are not alive. All tasks of a link share one thread at a time, since each hop between tasks woke another one.

--- a/bench/src/main/kotlin/org/hyssoprack/bench/capacity/LinkCapacity.kt
+++ b/bench/src/main/kotlin/org/hyssoprack/bench/capacity/LinkCapacity.kt
@@ -47,9 +47,9 @@
 
     private suspend fun messages() {
         val runs = RATES.map { run(hosts = MESSAGE_HOSTS, messagesPerSecond = it) }
-        val points = runs.map { Point(it.messagesPerSecond, it.cpuUsPerSecond) }
+        val points = runs.map { Point(it.framesPerSecond, it.cpuUsPerSecond) }
         slopes += Slope.of("message: both ends", "messages/s", "CPU us/s", points)
-        val bytes = runs.map { Point(it.messagesPerSecond, it.bytesPerSecond) }
+        val bytes = runs.map { Point(it.framesPerSecond, it.bytesPerSecond) }
         slopes += Slope.of("message: sent", "messages/s", "B/s", bytes)
     }
 
@@ -87,7 +87,7 @@
         val end = LinkTotals.of(links)
         scope.cancel()
         links.forEach { it.close() }
-        return LinkRun.between(start, end, hosts, messagesPerSecond, heap)
+        return LinkRun.between(start, end, hosts, heap)
     }
 
     // Each pair sends in one direction; heartbeats go both ways.
--- a/bench/src/main/kotlin/org/hyssoprack/bench/capacity/LinkRun.kt
+++ b/bench/src/main/kotlin/org/hyssoprack/bench/capacity/LinkRun.kt
@@ -1,13 +1,8 @@
 package org.hyssoprack.bench.capacity
 
-/**
- * What several links cost together.
- *
- * @property messagesPerSecond messages sent over all links.
- */
+/** What several links cost together. */
 internal data class LinkRun(
     val pairs: Double,
-    val messagesPerSecond: Double,
     val bytesPerSecond: Double,
     val framesPerSecond: Double,
     val cpuUsPerSecond: Double,
@@ -17,18 +12,11 @@
         private const val NANOS_PER_US = 1_000.0
         private const val NANOS_PER_SECOND = 1e9
 
-        fun between(
-            start: LinkTotals,
-            end: LinkTotals,
-            hosts: Int,
-            messagesPerSecond: Double,
-            heapBytes: Long
-        ): LinkRun {
+        fun between(start: LinkTotals, end: LinkTotals, hosts: Int, heapBytes: Long): LinkRun {
             val seconds = (end.atNanos - start.atNanos) / NANOS_PER_SECOND
             val pairs = hosts * (hosts - 1) / 2.0
             return LinkRun(
                 pairs = pairs,
-                messagesPerSecond = pairs * messagesPerSecond,
                 bytesPerSecond = (end.bytes - start.bytes) / seconds,
                 framesPerSecond = (end.frames - start.frames) / seconds,
                 cpuUsPerSecond = (end.cpuNanos - start.cpuNanos) / NANOS_PER_US / seconds,
--- a/bench/src/main/kotlin/org/hyssoprack/bench/capacity/MemberCapacity.kt
+++ b/bench/src/main/kotlin/org/hyssoprack/bench/capacity/MemberCapacity.kt
@@ -13,6 +13,7 @@
 internal class MemberCapacity(private val sizes: List<Int>) {
     private val slopes = mutableListOf<Slope>()
     private val figures = mutableListOf<Figure>()
+    private val quietBytes = HashMap<Int, Double>()
 
     fun measure(): CapacityReport {
         MemberSimulation(WARM_UP_HOSTS).run(WARM_UP_MS)
@@ -34,6 +35,7 @@
             simulation.resetCost()
             simulation.run(RUN_MS)
             val hostSeconds = size * RUN_MS / MS_PER_SECOND
+            quietBytes[size] = simulation.traffic.bytes.toDouble()
             bytes += Point(size.toDouble(), simulation.traffic.bytes / hostSeconds)
             messages += Point(size.toDouble(), simulation.traffic.messages / hostSeconds)
             processor += Point(size.toDouble(), simulation.tableNanos / hostSeconds / NANOS_PER_US)
@@ -47,7 +49,6 @@
         val spread = mutableListOf<Point>()
         val bytes = mutableListOf<Point>()
         for (size in sizes) {
-            val quiet = quietBytes(size)
             val simulation = MemberSimulation(size)
             simulation.run(SETTLE_MS)
             simulation.resetCost()
@@ -57,20 +58,16 @@
             } ?: error("host 0 of $size is not seen by all")
             simulation.run(RUN_MS - tookMs)
             spread += Point(size.toDouble(), tookMs.toDouble())
-            bytes += Point(size.toDouble(), (simulation.traffic.bytes - quiet) / size)
+            bytes +=
+                Point(
+                    size.toDouble(),
+                    (simulation.traffic.bytes - quietBytes.getValue(size)) / size
+                )
         }
         slopes += Slope.of("restart: until all know", "members", "ms", spread)
         slopes += Slope.of("restart: extra bytes", "members", "B per host and restart", bytes)
     }
 
-    private fun quietBytes(size: Int): Double {
-        val simulation = MemberSimulation(size)
-        simulation.run(SETTLE_MS)
-        simulation.resetCost()
-        simulation.run(RUN_MS)
-        return simulation.traffic.bytes.toDouble()
-    }
-
     private fun losses() {
         val one = sizes.map { Point(it.toDouble(), lossMs(it, lost = 1).toDouble()) }
         slopes += Slope.of("one host dies: until all know", "members", "ms", one)
--- a/core/membership/src/main/kotlin/org/hyssoprack/membership/MemberBeliefs.kt
+++ b/core/membership/src/main/kotlin/org/hyssoprack/membership/MemberBeliefs.kt
@@ -15,7 +15,13 @@
     val version: Long get() = records.version
 
     /** Number of hosts that are not dead, this one included. */
-    val memberCount: Int get() = 1 + records.all.count { !it.isDead }
+    val memberCount: Int get() = 1 + records.notDeadCount
+
+    /** Members in any state but alive. */
+    val others: List<MemberRecord> get() = records.others
+
+    /** Number of peers in any state. */
+    val size: Int get() = records.size
 
     operator fun get(host: HostId): MemberRecord? = records[host]
 
@@ -73,7 +79,7 @@
     /** Declares members dead that did not refute their suspicion in time. */
     fun endSuspicions(nowMs: Long): List<MemberOutput> {
         val limitMs = settings.suspicionMs(memberCount)
-        val over = records.all.filter { record ->
+        val over = records.others.filter { record ->
             val sinceMs = record.suspectedSinceMs()
             sinceMs != null && nowMs - sinceMs >= limitMs
         }
@@ -82,9 +88,9 @@
 
     /** Starts all suspicions anew, since this host could not have heard a refutation. */
     fun restartSuspicions(nowMs: Long) {
-        records.all.filter { it.digest.state == MemberState.SUSPECT }
+        records.others.filter { it.digest.state == MemberState.SUSPECT }
             .forEach { records.put(it.copy(changedAtMs = nowMs)) }
-        records.all.filter { it.unansweredSinceMs != null }
+        records.others.filter { it.unansweredSinceMs != null }
             .forEach { records.put(it.copy(unansweredSinceMs = null)) }
     }
 
--- a/core/membership/src/main/kotlin/org/hyssoprack/membership/MemberRecords.kt
+++ b/core/membership/src/main/kotlin/org/hyssoprack/membership/MemberRecords.kt
@@ -5,6 +5,7 @@
 /** All known peers of one host, without itself. */
 internal class MemberRecords {
     private val records = LinkedHashMap<HostId, MemberRecord>()
+    private val notAlive = LinkedHashSet<HostId>()
 
     /** Grows with each change that the view shows. */
     var version: Long = 0
@@ -13,6 +14,12 @@
     val all: Collection<MemberRecord> get() = records.values
     val size: Int get() = records.size
 
+    /** Members in any state but alive; few, so that periodic work need not look at all. */
+    val others: List<MemberRecord> get() = notAlive.mapNotNull { records[it] }
+
+    /** Number of members that are not dead. */
+    val notDeadCount: Int get() = size - notAlive.count { records[it]?.isDead == true }
+
     operator fun get(host: HostId): MemberRecord? = records[host]
 
     /**
@@ -37,14 +44,19 @@
     }
 
     fun put(record: MemberRecord) {
-        records[record.digest.host] = record
+        val host = record.digest.host
+        records[host] = record
+        if (record.digest.state == MemberState.ALIVE) notAlive -= host else notAlive += host
         version++
     }
 
-    /** Forgets the members for which [isOld] holds, and returns them. */
+    /** Forgets those of the [others] for which [isOld] holds, and returns them. */
     fun forget(isOld: (MemberRecord) -> Boolean): List<MemberRecord> {
-        val old = records.values.filter(isOld)
-        old.forEach { records.remove(it.digest.host) }
+        val old = others.filter(isOld)
+        old.forEach {
+            records.remove(it.digest.host)
+            notAlive -= it.digest.host
+        }
         if (old.isNotEmpty()) version++
         return old
     }
--- a/core/membership/src/main/kotlin/org/hyssoprack/membership/MemberTable.kt
+++ b/core/membership/src/main/kotlin/org/hyssoprack/membership/MemberTable.kt
@@ -96,10 +96,12 @@
     // Members that left are no sign of a partition; dead ones are, for as long as they are known.
     private fun reachable(): Double {
         if (own.isSuperseded) return 0.0
-        val counted = beliefs.all.filter { !it.left && it.digest.state != MemberState.LEAVING }
-        if (counted.isEmpty()) return 1.0
-        val alive = counted.count { it.digest.state == MemberState.ALIVE }
-        return minOf(alive / counted.size.toDouble(), probes.answeredShare(counted.size))
+        val others = beliefs.others
+        val alive = beliefs.size - others.size
+        val lost = others.count { !it.left && it.digest.state != MemberState.LEAVING }
+        val counted = alive + lost
+        if (counted == 0) return 1.0
+        return minOf(alive / counted.toDouble(), probes.answeredShare(counted))
     }
 
     // After a pause all timers have run out at once; none of that says anything about the peers.
@@ -111,12 +113,13 @@
 
     private fun probeNext(nowMs: Long): List<MemberOutput> {
         nextProbeMs = nowMs + settings.probeIntervalMs(memberCount)
-        val hosts = beliefs.all.map { it.digest.host }
-        val host = order.next(hosts) { beliefs[it]?.isDead == false } ?: return emptyList()
+        val host = order.next(::peers) { beliefs[it]?.isDead == false } ?: return emptyList()
         val target = beliefs[host]?.digest?.ref ?: return emptyList()
         return listOf(ping(target.host, probes.start(nowMs, target).sequence))
     }
 
+    private fun peers(): List<HostId> = beliefs.all.map { it.digest.host }
+
     private fun ping(to: HostId, sequence: Long): MemberOutput =
         send(to, MemberMessage.Ping(sequence, own.current, newsFor(to)))
 
@@ -139,7 +142,7 @@
 
     private fun probeDead(nowMs: Long): List<MemberOutput> {
         nextHealMs = nowMs + settings.healIntervalMs
-        val dead = beliefs.all.filter { it.isDead && !it.left }
+        val dead = beliefs.others.filter { it.isDead && !it.left }
         val host = dead.randomOrNull(random)?.digest?.host ?: return emptyList()
         return listOf(ping(host, probes.untracked()))
     }
--- a/core/membership/src/main/kotlin/org/hyssoprack/membership/ProbeOrder.kt
+++ b/core/membership/src/main/kotlin/org/hyssoprack/membership/ProbeOrder.kt
@@ -7,11 +7,11 @@
 internal class ProbeOrder(private val random: Random) {
     private val rest = ArrayDeque<HostId>()
 
-    /** The next of the hosts that [isCandidate] holds for; null if there is none. */
-    fun next(hosts: Collection<HostId>, isCandidate: (HostId) -> Boolean): HostId? {
+    /** The next of the [hosts] that [isCandidate] holds for; null if there is none. */
+    fun next(hosts: () -> List<HostId>, isCandidate: (HostId) -> Boolean): HostId? {
         val next = nextOfRest(isCandidate)
         if (next != null) return next
-        rest.addAll(hosts.shuffled(random))
+        rest.addAll(hosts().shuffled(random))
         return nextOfRest(isCandidate)
     }
 
--- a/link/tcp/src/main/kotlin/org/hyssoprack/link/tcp/TcpLink.kt
+++ b/link/tcp/src/main/kotlin/org/hyssoprack/link/tcp/TcpLink.kt
@@ -47,7 +47,7 @@
     private val clock: Clock,
     private val log: EventLog
 ) : Link {
-    private val scope = CoroutineScope(SupervisorJob() + Dispatchers.Default)
+    private val scope = CoroutineScope(SupervisorJob() + Dispatchers.Default.limitedParallelism(1))
     private val counters = LinkCounters()
     private val received = Channel<ReceivedMessage>(
         capacity = settings.incomingLength,
