--- a/core/scheduling/src/main/kotlin/org/hyssoprack/scheduling/DefaultEntryScheduler.kt
+++ b/core/scheduling/src/main/kotlin/org/hyssoprack/scheduling/DefaultEntryScheduler.kt
@@ -14,8 +14,10 @@
     settings: SchedulingSettings = SchedulingSettings()
 ) : EntryScheduler {
     private val state = EntryState(self, ownDomain, settings)
-    private val slots = EntrySlots(state)
-    private val asking = Asking(state)
+    private val registrations = Registrations(state)
+    private val slots = EntrySlots(state, registrations)
+    private val asking = Asking(state, registrations)
+    private val resuming = Resuming(state)
     private val shedding = Shedding(state, asking)
     private val renewals = Renewals(state)
 
@@ -51,7 +53,7 @@
         if (entry.phase == RequestPhase.WAITING) return emptyList()
         state.measured(nowMs, entry, report)
         state.requests.ended(nowMs, entry)
-        if (entry.phase == RequestPhase.SUSPENDED) asking.withdraw(entry)
+        if (entry.phase == RequestPhase.SUSPENDED) resuming.withdraw(entry)
         slots.release(nowMs, entry)
         return state.takeOutputs()
     }
@@ -61,8 +63,9 @@
         if (entry.phase != RequestPhase.RUNNING) return emptyList()
         entry.phase = RequestPhase.SUSPENDED
         entry.preempting = false
+        entry.wasSuspended = true
         slots.release(nowMs, entry)
-        asking.askToResume(nowMs, entry)
+        resuming.ask(nowMs, entry)
         return state.takeOutputs()
     }
 
@@ -80,7 +83,7 @@
             is SlotMessage.Recall -> slots.recalled(nowMs, from, message)
             is SlotMessage.Preempt -> slots.preempt(nowMs, message)
             is SlotMessage.ShedVerdict -> shedding.receive(nowMs, message)
-            is SlotMessage.Digest -> renewals.confirmed(nowMs, message)
+            is SlotMessage.Digest -> digest(nowMs, message)
             is SlotMessage.Ask,
             is SlotMessage.AskBlock,
             is SlotMessage.Withdraw,
@@ -91,6 +94,11 @@
         return state.takeOutputs()
     }
 
+    private fun digest(nowMs: Long, message: SlotMessage.Digest) {
+        renewals.confirmed(nowMs, message)
+        if (message.renewedAtMs == null) asking.refused(nowMs, message.server)
+    }
+
     override fun updateFleet(nowMs: Long, fleet: Fleet): List<EntryOutput> {
         val before = state.fleet
         state.changeFleet(fleet)
@@ -112,6 +120,7 @@
     override fun tick(nowMs: Long): List<EntryOutput> {
         slots.tick(nowMs)
         renewals.tick(nowMs)
+        resuming.tick(nowMs)
         asking.tick(nowMs)
         shedding.tick(nowMs)
         state.requests.forgetEnded(nowMs)
--- a/core/scheduling/src/main/kotlin/org/hyssoprack/scheduling/EntryRequest.kt
+++ b/core/scheduling/src/main/kotlin/org/hyssoprack/scheduling/EntryRequest.kt
@@ -15,6 +15,7 @@
     var nextAskMs = 0L
     var width = 0
     var widenAtMs = 0L
+    var waitsEverywhere = false
     var urgentServer: BackendServerId? = null
     var urgentUntilMs = 0L
     var latestDispatchAtMs = request.deadlineAtMs
@@ -23,12 +24,16 @@
 
     var server: BackendServerId? = null
     var lease: EntryLease? = null
-    var lastLease: LeaseId? = null
     var dispatchedAtMs = 0L
     var uncachedTokens = 0
     var hasFirstToken = false
     var isFirstTokenMeasured = false
     var preempting = false
+    var wasSuspended = false
 
     val id get() = request.id
+
+    /** True if [server] shall preempt a lower tier for this request. */
+    fun isUrgentAt(nowMs: Long, server: BackendServerId): Boolean =
+        urgentServer == server && nowMs < urgentUntilMs
 }
