--- a/testing/integration/src/main/kotlin/org/hyssoprack/integration/caller/AnswerReader.kt
+++ b/testing/integration/src/main/kotlin/org/hyssoprack/integration/caller/AnswerReader.kt
@@ -26,8 +26,9 @@
         val isStream = answer.contentType()?.contentSubtype == "event-stream"
         if (isStream) return readStream(answer)
         val body = answer.bodyAsText()
-        val isError = answer.status.value !in SUCCESS
-        return if (isError) error(body) else whole(body, answer)
+        // A plain service's own answer carries the result code, whatever its status is.
+        val isServed = answer.status.value in SUCCESS || answer.headers[RESULT] != null
+        return if (isServed) whole(body, answer) else error(body)
     }
 
     /** The answer broke off. */
@@ -57,7 +58,7 @@
     private fun whole(body: String, answer: HttpResponse): Told {
         val isCompletion = spec.kind == CallKind.LETTER || spec.kind == CallKind.QUESTION
         if (isCompletion) token(Json.parseToJsonElement(body).jsonObject) else text.append(body)
-        val code = answer.headers["X-Result-Code"]?.toIntOrNull() ?: OK
+        val code = answer.headers[RESULT]?.toIntOrNull() ?: OK
         return told(ToldOutcome.DONE, code = code)
     }
 
@@ -86,6 +87,7 @@
     )
 
     private companion object {
+        const val RESULT = "X-Result-Code"
         const val EVENT = "event: "
         const val DATA = "data: "
         const val END = "[DONE]"
--- a/testing/integration/src/main/kotlin/org/hyssoprack/integration/caller/Caller.kt
+++ b/testing/integration/src/main/kotlin/org/hyssoprack/integration/caller/Caller.kt
@@ -11,6 +11,7 @@
 import io.ktor.client.request.setBody
 import io.ktor.http.HttpMethod
 import java.net.ConnectException
+import java.util.concurrent.ConcurrentHashMap
 import java.util.concurrent.ConcurrentLinkedQueue
 import java.util.concurrent.atomic.AtomicLong
 import kotlinx.coroutines.CancellationException
@@ -26,13 +27,20 @@
 import org.hyssoprack.integration.deployment.TestPolicy
 
 /** Makes calls and remembers what it was told about each. */
-class Caller(private val clock: Clock = SystemClock) : AutoCloseable {
+class Caller(
+    private val clock: Clock = SystemClock,
+    private val callTimeoutMs: Long = CALL_TIMEOUT_MS
+) : AutoCloseable {
     private val queue = ConcurrentLinkedQueue<CallRecord>()
+    private val idsByContent = ConcurrentHashMap<String, MutableSet<String>>()
     private val lastSuffix = AtomicLong()
     private val client = HttpClient(CIO) {
         expectSuccess = false
         install(HttpTimeout)
-        engine { maxConnectionsCount = MAX_CONNECTIONS }
+        engine {
+            maxConnectionsCount = MAX_CONNECTIONS
+            endpoint.maxConnectionsPerRoute = MAX_CONNECTIONS
+        }
     }
 
     /** All attempts that have ended, in the order of their ends. */
@@ -49,6 +57,9 @@
     suspend fun repeat(host: HostUnderTest, record: CallRecord): CallRecord =
         attempt(host, record.spec, record.requestId, isFirst = false)
 
+    /** Request ids under which the call of [spec] was sent so far. */
+    fun idsOf(spec: CallSpec): Set<String> = idsByContent[spec.content].orEmpty()
+
     override fun close() = client.close()
 
     private suspend fun attempt(
@@ -58,6 +69,7 @@
         isFirst: Boolean
     ): CallRecord {
         val incarnation = host.ref?.incarnation.toString()
+        idsByContent.computeIfAbsent(spec.content) { ConcurrentHashMap.newKeySet() }.add(id)
         val sentMs = clock.epochMs()
         val told = send(host, spec, id, isFirst)
         return CallRecord(spec, id, host.name, incarnation, sentMs, clock.epochMs(), told)
@@ -91,8 +103,8 @@
         method = if (spec.kind == CallKind.LOOKUP) HttpMethod.Get else HttpMethod.Post
         timeout {
             connectTimeoutMillis = CONNECT_TIMEOUT_MS
-            requestTimeoutMillis = CALL_TIMEOUT_MS
-            socketTimeoutMillis = CALL_TIMEOUT_MS
+            requestTimeoutMillis = callTimeoutMs
+            socketTimeoutMillis = callTimeoutMs
         }
         header("Authorization", "Bearer ${TestPolicy.keyOf(accountOf(spec))}")
         header("X-Request-Id", id)
--- a/testing/integration/src/main/kotlin/org/hyssoprack/integration/deployment/DeploymentUnderTest.kt
+++ b/testing/integration/src/main/kotlin/org/hyssoprack/integration/deployment/DeploymentUnderTest.kt
@@ -2,6 +2,7 @@
 
 import java.nio.file.Path
 import java.time.Duration
+import java.util.concurrent.ConcurrentHashMap
 import org.hyssoprack.standins.engine.EngineFaults
 import org.hyssoprack.standins.hostlist.HostListFaults
 import org.hyssoprack.standins.objects.ObjectFaults
@@ -23,6 +24,11 @@
         HostUnderTest(name = "h${it + 1}", index = it, directory, platform, ports)
     }
 
+    private val stopping = ConcurrentHashMap.newKeySet<HostUnderTest>()
+
+    /** Hosts that callers may use; those that were asked to stop are left out. */
+    val usableHosts: List<HostUnderTest> get() = hosts.filter { it !in stopping }
+
     /** Starts everything and accepts the first bundle; returns when it is in force everywhere. */
     fun start() {
         platform.start(backends.servers())
@@ -43,6 +49,7 @@
     /** Asks [host] to stop; it ends by itself. */
     fun stop(host: HostUnderTest) {
         journal.note(JournalAction.STOPPED, host.name)
+        stopping.add(host)
         host.terminate()
     }
 
@@ -63,6 +70,7 @@
     fun restart(host: HostUnderTest) {
         host.launch(seeds())
         awaitStarted(host)
+        stopping.remove(host)
         await("a bundle in force on ${host.name}") { operators.activeVersion(host) > 0 }
     }
 
--- a/testing/integration/src/main/kotlin/org/hyssoprack/integration/schedule/RandomRun.kt
+++ b/testing/integration/src/main/kotlin/org/hyssoprack/integration/schedule/RandomRun.kt
@@ -31,14 +31,19 @@
 
     /** Runs everything and audits it at the end. */
     suspend fun run(): RandomRunReport {
-        val deployment =
-            DeploymentUnderTest(directory, DeploymentSettings(proxySeed = settings.seed))
+        val deployment = DeploymentUnderTest(directory, size())
         return deployment.use {
             withContext(Dispatchers.IO) { it.start() }
             Caller(callTimeoutMs = CALL_TIMEOUT_MS).use { caller -> run(it, caller) }
         }
     }
 
+    private fun size() = DeploymentSettings(
+        engines = ENGINES,
+        engineSlots = ENGINE_SLOTS,
+        proxySeed = settings.seed
+    )
+
     private suspend fun run(deployment: DeploymentUnderTest, caller: Caller): RandomRunReport {
         val traffic = Traffic(
             deployment = deployment,
@@ -97,5 +102,7 @@
     private companion object {
         const val CALL_TIMEOUT_MS = 25_000L
         const val BURST = 6
+        const val ENGINES = 3
+        const val ENGINE_SLOTS = 12
     }
 }
--- a/testing/integration/src/main/kotlin/org/hyssoprack/integration/schedule/Traffic.kt
+++ b/testing/integration/src/main/kotlin/org/hyssoprack/integration/schedule/Traffic.kt
@@ -43,7 +43,7 @@
 
     private fun begin(scope: CoroutineScope) {
         val spec = nextSpec()
-        val hosts = List(ATTEMPTS) { deployment.hosts.random(random) }
+        val hosts = List(ATTEMPTS) { deployment.usableHosts.random(random) }
         val sameId = random.nextBoolean()
         scope.launch { run(spec, hosts, sameId) }
     }
