--- a/core/scheduling/src/test/kotlin/org/hyssoprack/scheduling/DefaultEntrySchedulerTest.kt
+++ b/core/scheduling/src/test/kotlin/org/hyssoprack/scheduling/DefaultEntrySchedulerTest.kt
@@ -201,6 +201,27 @@
         assertThat(codes).containsExactly(ResultCode.HOST_UNREACHABLE)
     }
 
+    @Example
+    fun `verdicts allow shedding only until they lapse`() {
+        val cases = listOf(
+            400L to ResultCode.DEADLINE_PASSED_WAITING,
+            200L to ResultCode.HOST_UNREACHABLE
+        )
+        cases.forEach { (termMs, code) ->
+            val entry = entry()
+            entry.submit(nowMs, request("r", deadlineMs = 600))
+            nowMs += 300
+            entry.tick(nowMs).sent<SlotMessage.ShedCheck>().forEach {
+                entry.hear(verdict(it, lower = 0).copy(termMs = termMs))
+            }
+            val codes = (0..20).flatMap {
+                nowMs += 50
+                entry.tick(nowMs).rejected()
+            }
+            assertThat(codes).containsExactly(code)
+        }
+    }
+
     @Example
     fun `what is rejected at once`() {
         val cases = listOf(
