--- a/bench/src/main/kotlin/org/hyssoprack/bench/ExperimentRunner.kt
+++ b/bench/src/main/kotlin/org/hyssoprack/bench/ExperimentRunner.kt
@@ -12,6 +12,7 @@
 import org.hyssoprack.bench.experiment.Experiment
 import org.hyssoprack.bench.experiment.FaultStep
 import org.hyssoprack.bench.experiment.FleetCapacity
+import org.hyssoprack.bench.experiment.PolicyText
 import org.hyssoprack.bench.experiment.Variant
 import org.hyssoprack.bench.load.Caller
 import org.hyssoprack.bench.load.LoadRun
@@ -20,9 +21,18 @@
 import org.hyssoprack.bench.report.ExperimentReport
 import org.hyssoprack.bench.report.VariantReport
 import org.hyssoprack.bench.report.VariantSummary
+import org.hyssoprack.burn.BurnReport
 
-/** Runs the variants of an experiment one after another, each on a fresh deployment. */
-class ExperimentRunner(private val experiment: Experiment, private val directory: Path) {
+/**
+ * Runs the variants of an experiment one after another, each on a fresh deployment.
+ *
+ * @param onBurn takes the hosts' own report on service-level burn at the end of each variant.
+ */
+class ExperimentRunner(
+    private val experiment: Experiment,
+    private val directory: Path,
+    private val onBurn: (Variant, BurnReport) -> Unit = { _, _ -> }
+) {
     private val capacity = FleetCapacity(experiment)
     private val summary = VariantSummary(experiment, capacity)
 
@@ -45,11 +55,13 @@
         val engines = experiment.engines.flatMap { it.settings() }
         val own = directory.resolve(variant.name)
         Deployment(directory = own, engines = engines, hosts = experiment.hosts).use {
-            it.accept(policy(variant), experiment.classes.map { it.account }.distinct())
+            val accounts = experiment.classes.map { traffic -> traffic.account }.distinct()
+            it.accept(PolicyText.of(experiment, variant), accounts)
             val cpuBefore = cpuMs(it.hosts)
             val records = runBlocking { load(it, variant) }
             val cpu = cpuMs(it.hosts).mapValues { (name, ms) -> ms - cpuBefore.getValue(name) }
             Thread.sleep(SETTLE_MS)
+            it.burn()?.let { burn -> onBurn(variant, burn) }
             return summary.of(
                 variant = variant.name,
                 records = records,
@@ -93,10 +105,6 @@
         }
     }
 
-    private fun policy(variant: Variant): String = experiment.policy.joinToString("\n") {
-        it.replace("{routing}", variant.routing).replace("{queueing}", variant.queueing)
-    }
-
     private fun cpuMs(processes: List<ChildProcess>): Map<String, Long> =
         processes.associate { it.name to it.cpuMs }
 
--- a/bench/src/main/kotlin/org/hyssoprack/bench/deployment/ChildProcess.kt
+++ b/bench/src/main/kotlin/org/hyssoprack/bench/deployment/ChildProcess.kt
@@ -21,7 +21,11 @@
         .redirectErrorStream(true)
         .redirectOutput(log.toFile())
         .start()
-    private var endedCpu: Duration? = null
+    private val killAtExit = Thread { process.destroyForcibly() }
+
+    init {
+        Runtime.getRuntime().addShutdownHook(killAtExit)
+    }
 
     val isAlive: Boolean get() = process.isAlive
 
