--- a/core/scheduling/src/test/kotlin/org/hyssoprack/scheduling/SlotTableTest.kt
+++ b/core/scheduling/src/test/kotlin/org/hyssoprack/scheduling/SlotTableTest.kt
@@ -80,10 +80,12 @@
     }
 
     @Example
-    fun `a new owner lends nothing for one lease term but counts what was lent before`() {
+    fun `a new owner lends and vouches nothing for a lease term but counts what was lent`() {
         val owner = owner()
         nowMs = TERM_MS - 1
         assertThat(owner.tell(ask(0)).grants()).isEmpty()
+        val check = SlotMessage.ShedCheck(id, TierRank(0), false, nowMs, binding = true)
+        assertThat(owner.verdict(check)).isNull()
         val held = HeldLease(LeaseId(7), TierRank(0), held = 3, inUse = 3)
         owner.tell(SlotMessage.Renew(id, listOf(held), sentAtMs = nowMs))
         assertThat(owner.lent()).isEqualTo(3)
