--- a/core/settings/src/test/kotlin/org/hyssoprack/settings/BundleHolderTest.kt
+++ b/core/settings/src/test/kotlin/org/hyssoprack/settings/BundleHolderTest.kt
@@ -59,8 +59,9 @@
     fun `a body that does not fit its hash is thrown away`() = holding { holder ->
         publish(version = 1, number = 1)
         objects.isDown = true
+        // The holder asks the object store once it knows the hash from the row.
+        await { objects.gets > 0 }
         holder.peerHas(peer.host, BundleVersion(1))
-        await { sent.any { it is BundleMessage.Fetch } }
         val wrong = BundleMessage.Body(BundleVersion(1), TestBundles.hash(1), json(2))
         val other = BundleMessage.Body(BundleVersion(1), TestBundles.hash(2), json(2))
         holder.receive(peer, wrong)
--- a/core/settings/src/test/kotlin/org/hyssoprack/settings/BundleServiceTest.kt
+++ b/core/settings/src/test/kotlin/org/hyssoprack/settings/BundleServiceTest.kt
@@ -83,6 +83,27 @@
         assertThat(loser.detail).contains(service.history().getOrNull()!!.single().hash.value)
     }
 
+    @Example
+    fun `a change that was replaced before its reply was settled is found in the history`() =
+        runBlocking {
+            val first = proposed(1)
+            val second = proposed(2)
+            val service = service(table) {
+                accept(ann, second, base = 1)
+                table.failsReads = true
+            }
+            table.repliesToLose = 1
+            val unsettled = service.accept(bob, first, BundleVersion.NONE)
+            assertThat(code(unsettled)).isEqualTo(ResultCode.OUTCOME_UNDECIDED)
+            table.failsReads = false
+            assertThat(accept(bob, first, 0).getOrNull()).isEqualTo(BundleVersion(1))
+            assertThat(
+                service.history().getOrNull()!!.map {
+                    it.hash
+                }
+            ).containsExactly(second, first)
+        }
+
     @Property(tries = 1_000)
     fun `no operator is told of a change that did not happen or of none that did`(
         @ForAll seed: Long,
@@ -135,13 +156,14 @@
         }
     }
 
-    private fun service(table: FakeTable) = DefaultBundleService(
-        table = table,
-        objects = objects,
-        log = SilentEventLog,
-        peersReachable = { reachable },
-        pause = { yield() }
-    )
+    private fun service(table: FakeTable, pause: suspend (Long) -> Unit = { yield() }) =
+        DefaultBundleService(
+            table = table,
+            objects = objects,
+            log = SilentEventLog,
+            peersReachable = { reachable },
+            pause = pause
+        )
 
     private suspend fun proposed(number: Int, on: BundleService = service): ContentHash {
         val hash = on.propose(OperatorName("carl"), TestBundles.json(number)).getOrNull()!!
--- a/core/settings/src/test/kotlin/org/hyssoprack/settings/FakeTable.kt
+++ b/core/settings/src/test/kotlin/org/hyssoprack/settings/FakeTable.kt
@@ -16,6 +16,8 @@
 internal class FakeTable(private val random: Random = Random(1), var faultPercent: Int = 0) :
     TableService {
     val rows = HashMap<RowKey, Row>()
+    var failsReads = false
+    var repliesToLose = 0
     private val late = mutableListOf<() -> Unit>()
 
     /** Applies the writes that are still on their way. */
@@ -26,7 +28,7 @@
 
     override suspend fun read(key: RowKey): Either<Failure, Row?> {
         pause()
-        if (isFaulty()) return FAILURE.left()
+        if (failsReads || isFaulty()) return FAILURE.left()
         return rows[key].right()
     }
 
@@ -40,6 +42,11 @@
 
     override suspend fun compareAndSet(key: RowKey, expected: Long, value: String): WriteResult {
         pause()
+        if (repliesToLose > 0) {
+            repliesToLose--
+            write(key, expected, value)
+            return WriteResult.Undecided(FAILURE)
+        }
         if (!isFaulty()) return write(key, expected, value)
         when (random.nextInt(4)) {
             0 -> return WriteResult.Refused(FAILURE)
