--- a/bench/src/main/kotlin/org/hyssoprack/bench/capacity/OwnershipCapacity.kt
+++ b/bench/src/main/kotlin/org/hyssoprack/bench/capacity/OwnershipCapacity.kt
@@ -16,10 +16,18 @@
         val first = HOSTS.map { Point(it.toDouble(), assignUs(it)) }
         val figures = listOf(
             Figure("owners of $SERVERS servers, same live hosts", "CPU us", cachedUs()),
-            Figure("owners of $SERVERS servers, one domain lost", "CPU us", domainLostUs())
+            Figure("owners of $SERVERS servers, one host lost", "CPU us", lostUs { it == 0 }),
+            Figure(
+                "owners of $SERVERS servers, one domain lost",
+                "CPU us",
+                lostUs {
+                    it % DOMAINS ==
+                        0
+                }
+            )
         )
         val slope =
-            Slope.of("owners of $SERVERS servers, live hosts changed", "members", "CPU us", first)
+            Slope.of("owners of $SERVERS servers, none known", "members", "CPU us", first)
         return CapacityReport(listOf(slope), figures)
     }
 
@@ -35,14 +43,15 @@
         return timedUs { assign(ownership, other) }
     }
 
-    private fun domainLostUs(): Double {
+    private fun lostUs(isLost: (Int) -> Boolean): Double {
         val ownership = RendezvousOwnership()
         val members = members(LARGEST)
         assign(ownership, viewOf(members))
-        val lost = members.map {
-            if (it.domain == domain(0)) it.copy(state = MemberState.DEAD) else it
-        }
-        val view = viewOf(lost)
+        val view = viewOf(
+            members.mapIndexed { index, member ->
+                if (isLost(index)) member.copy(state = MemberState.DEAD) else member
+            }
+        )
         return timedUs { assign(ownership, view) }
     }
 
--- a/core/membership/src/main/kotlin/org/hyssoprack/membership/RendezvousOwnership.kt
+++ b/core/membership/src/main/kotlin/org/hyssoprack/membership/RendezvousOwnership.kt
@@ -9,35 +9,44 @@
 
 /**
  * [Ownership] by rendezvous hashing: the live host with the highest hash of host and server owns
- * the server. Hosts of the server's failure domain go first. Owners are kept until the set of live
- * hosts changes.
+ * the server. Hosts of the server's failure domain go first. Owners are kept until the live hosts
+ * of that domain change.
  */
 class RendezvousOwnership : Ownership {
-    private class Hosts(val byDomain: Map<FailureDomain, List<HostId>>) {
-        val all = byDomain.values.flatten()
+    private class Candidates(val hosts: List<HostId>) {
         val owners = ConcurrentHashMap<BackendServerId, HostId>()
     }
 
-    private class Known(val view: MemberView, val hosts: Hosts)
+    private class Live(
+        val view: MemberView,
+        val byDomain: Map<FailureDomain, Candidates>,
+        val all: Candidates
+    )
 
     @Volatile
-    private var known = Known(MemberView(emptyMap()), Hosts(emptyMap()))
+    private var known = Live(MemberView(emptyMap()), emptyMap(), Candidates(emptyList()))
 
     override fun owner(view: MemberView, server: BackendServerId, domain: FailureDomain): HostId? {
-        val hosts = hostsOf(view)
-        val near = hosts.byDomain[domain] ?: hosts.all
-        if (near.isEmpty()) return null
-        return hosts.owners.computeIfAbsent(server) { highest(near, it) }
+        val live = liveOf(view)
+        val near = live.byDomain[domain] ?: live.all
+        if (near.hosts.isEmpty()) return null
+        return near.owners.computeIfAbsent(server) { highest(near.hosts, it) }
     }
 
-    private fun hostsOf(view: MemberView): Hosts {
+    private fun liveOf(view: MemberView): Live {
         val last = known
-        if (last.view === view || last.view.members === view.members) return last.hosts
-        val byDomain = view.live().groupBy({ it.domain }, { it.ref.host })
-            .mapValues { (_, hosts) -> hosts.sortedBy { it.value } }
-        val hosts = if (byDomain == last.hosts.byDomain) last.hosts else Hosts(byDomain)
-        known = Known(view, hosts)
-        return hosts
+        if (last.view === view || last.view.members === view.members) return last
+        val members = view.live()
+        val byDomain = members.groupBy { it.domain }
+            .mapValues { (domain, near) -> candidates(near, last.byDomain[domain]) }
+        val live = Live(view = view, byDomain = byDomain, all = candidates(members, last.all))
+        known = live
+        return live
+    }
+
+    private fun candidates(members: List<Member>, last: Candidates?): Candidates {
+        val hosts = members.map { it.ref.host }.sortedBy { it.value }
+        return if (hosts == last?.hosts) last else Candidates(hosts)
     }
 
     private fun highest(hosts: List<HostId>, server: BackendServerId): HostId =
--- a/core/membership/src/test/kotlin/org/hyssoprack/membership/RendezvousOwnershipTest.kt
+++ b/core/membership/src/test/kotlin/org/hyssoprack/membership/RendezvousOwnershipTest.kt
@@ -45,6 +45,19 @@
         }
     }
 
+    @Example
+    fun `owners kept from an earlier view are those of a fresh start`() {
+        owners(members)
+        for (lost in members) {
+            val view = view(members - lost)
+            val fresh = RendezvousOwnership()
+            for (server in servers) {
+                val owner = ownership.owner(view, server, lost.domain)
+                assertThat(owner).isEqualTo(fresh.owner(view, server, lost.domain))
+            }
+        }
+    }
+
     private class StateCase(val state: MemberState, val owns: Boolean)
 
     private val stateCases = listOf(
