Let random histories say nothing of a server's speed

Requests of random length with a fixed number of tokens looked like servers that are hundreds of times slower than before. The model now reports times only for requests with a prefill, as in LoadTrial; the property asks for all slots as before.

--- a/core/scheduling/src/test/kotlin/org/hyssoprack/scheduling/Model.kt
+++ b/core/scheduling/src/test/kotlin/org/hyssoprack/scheduling/Model.kt
@@ -190,7 +190,12 @@
         val server = known.runningOn ?: return
         known.leftMs -= STEP_MS * speed(server)
         val hasFirstToken = known.leftMs <= known.runsMs - known.prefillMs
-        if (hasFirstToken && known.firstTokenAtMs == null) firstToken(host, known)
+        if (hasFirstToken &&
+            known.isMeasured &&
+            known.firstTokenAtMs == null
+        ) {
+            firstToken(host, known)
+        }
         if (known.leftMs <= 0) end(host, known, "done")
     }
 
--- a/core/scheduling/src/test/kotlin/org/hyssoprack/scheduling/ModelRequest.kt
+++ b/core/scheduling/src/test/kotlin/org/hyssoprack/scheduling/ModelRequest.kt
@@ -18,7 +18,11 @@
     var firstTokenAtMs: Long? = null
     var endedAtMs = 0L
 
+    /** Random histories have no prefill; their lengths say nothing of a server's speed. */
+    val isMeasured: Boolean get() = prefillMs > 0
+
     fun report(nowMs: Long): FinishReport {
+        if (!isMeasured) return FinishReport(firstTokenMs = null, tokenMs = null)
         val firstAtMs = firstTokenAtMs
         val tokens = request.completionTokens
         val tokenMs = if (firstAtMs == null ||
