Hand the policy's tiers to the schedulers

Cause: the fleet was built without them, so headroom was ignored, and the lowest tier asked for shed checks that it does not need. Measured: FleetBuilderTest (6 servers, and the tiers) passes with the change; it was written with it and has not been run without. Conclusion: kept; load experiments of before ran without headroom.

--- a/host/src/main/kotlin/org/hyssoprack/host/FleetBuilder.kt
+++ b/host/src/main/kotlin/org/hyssoprack/host/FleetBuilder.kt
@@ -34,7 +34,11 @@
                 leaving = server.state == BackendServerState.LEAVING || server.id in unavailable
             )
         }
-        return Fleet(servers = fleetServers.associateBy { it.id }, pools = policy.pools)
+        return Fleet(
+            servers = fleetServers.associateBy { it.id },
+            pools = policy.pools,
+            tiers = policy.tiers
+        )
     }
 
     private fun takes(pool: Pool, server: BackendServer): Boolean {
