Say what a lost reply of the plain service is

Cause: the comment told of a silent connection, which the service no longer keeps. Conclusion: the comment matches the behaviour.

--- a/testing/standins/src/main/kotlin/org/hyssoprack/standins/service/ServiceFaults.kt
+++ b/testing/standins/src/main/kotlin/org/hyssoprack/standins/service/ServiceFaults.kt
@@ -6,7 +6,7 @@
  * Faults that an emulated plain service shows. Those named `…Next` count calls still to be spoilt.
  *
  * @property extraLatencyMs added to the time of every call, in milliseconds.
- * @property loseReplyNext calls that run and whose connection is closed without the body of the answer.
+ * @property loseReplyNext calls that run and whose answer is closed before its body.
  * @property swapIdNext answers that carry another request's id.
  * @property cutNext answers that are cut in the middle of their body.
  * @property refuseNext calls that are answered with status 503 and never run.
