Count a booking's runs once for each body in the audit

Cause: the audit hashed every booking for every run; after 100,000 calls it did not end within minutes. Before: quadratic, stack dumps show it in Audit.hash after the run was over. After: one pass over the runs; compiled by hand review only, no run yet at that size.

--- a/testing/integration/src/main/kotlin/org/hyssoprack/integration/audit/Audit.kt
+++ b/testing/integration/src/main/kotlin/org/hyssoprack/integration/audit/Audit.kt
@@ -43,8 +43,9 @@
 
     private fun runsOnce(): List<Violation> {
         val bookings = history.calls.filter { it.spec.kind == CallKind.BOOKING }
+        val runsByBody = history.runs.groupingBy { it.bodyHash }.eachCount()
         return bookings.groupBy { it.spec.content }.mapNotNull { (content, attempts) ->
-            val runs = history.runs.count { it.bodyHash == hash(content) }
+            val runs = runsByBody[hash(content)] ?: 0
             val isDone = attempts.any { it.told.outcome == ToldOutcome.DONE }
             when {
                 runs > 1 -> Violation(Promise.RUNS_ONCE, "$content ran $runs times: $attempts")
