Give a slot to a request that will be in time on its server

Cause: of the waiting requests of a kind the one with the least time left got each slot, also when it could no longer be in time on that server.

--- a/core/scheduling/src/main/kotlin/org/hyssoprack/scheduling/EntrySlots.kt
+++ b/core/scheduling/src/main/kotlin/org/hyssoprack/scheduling/EntrySlots.kt
@@ -44,22 +44,48 @@
         val account = grant.account ?: return
         val place = Place(server = lease.server, kind = lease.kind, account = account)
         registrations.granted(nowMs, place)
-        val entry = registrations.next(place) ?: return
-        if (isLeaving(lease) || isPastDeadline(nowMs, entry)) return
+        if (isLeaving(lease)) return
+        val entry = choose(nowMs, registrations.waitingAt(place), lease) ?: return
         dispatch(nowMs, entry, lease)
     }
 
     /** Uses idle slots of [lease] for waiting requests; gives back those that must not be kept. */
     private fun useUp(nowMs: Long, lease: EntryLease) {
         while (lease.isUsable(nowMs) && !isLeaving(lease)) {
-            val entry = requests.next(lease.kind) ?: break
-            if (isPastDeadline(nowMs, entry)) break
+            val entry = choose(nowMs, requests.waiting(lease.kind), lease) ?: break
             dispatch(nowMs, entry, lease)
         }
         val mayKeep = lease.keepable && lease.held <= lease.keep && !isLeaving(lease)
         if (!mayKeep || nowMs >= lease.lapsesAtMs) giveBackIdle(nowMs, lease)
     }
 
+    /**
+     * The request with the least time left among those that are expected to be in time on the
+     * server of [lease]. Without one the request with the least time left at all, since a slot that
+     * is given back would have to be made free for it again.
+     */
+    private fun choose(
+        nowMs: Long,
+        waiting: Collection<EntryRequest>,
+        lease: EntryLease
+    ): EntryRequest? {
+        val server = state.servers.find(lease.server) ?: return null
+        var inTime: EntryRequest? = null
+        var any: EntryRequest? = null
+        for (entry in waiting) {
+            if (isPastDeadline(nowMs, entry)) continue
+            if (isSooner(entry, any)) any = entry
+            if (isSooner(entry, inTime) && isInTime(nowMs, entry, server)) inTime = entry
+        }
+        return inTime ?: any
+    }
+
+    private fun isSooner(entry: EntryRequest, other: EntryRequest?): Boolean =
+        other == null || entry.latestDispatchAtMs < other.latestDispatchAtMs
+
+    private fun isInTime(nowMs: Long, entry: EntryRequest, server: FleetServer): Boolean =
+        nowMs < state.latestDispatch(nowMs, entry, server)
+
     private fun isPastDeadline(nowMs: Long, entry: EntryRequest): Boolean =
         nowMs >= entry.request.deadlineAtMs
 
--- a/core/scheduling/src/main/kotlin/org/hyssoprack/scheduling/Registrations.kt
+++ b/core/scheduling/src/main/kotlin/org/hyssoprack/scheduling/Registrations.kt
@@ -50,9 +50,8 @@
         if (known.sentCount <= 0 && known.waiting.size > 1) send(nowMs, place, known)
     }
 
-    /** The request of [place] that has the least time left, or null. */
-    fun next(place: Place): EntryRequest? =
-        places[place]?.waiting?.minByOrNull { it.latestDispatchAtMs }
+    /** The requests of [place]. */
+    fun waitingAt(place: Place): Collection<EntryRequest> = places[place]?.waiting.orEmpty()
 
     /** Requests that wait for [server]. */
     fun waitingFor(server: BackendServerId): List<EntryRequest> =
--- a/core/scheduling/src/main/kotlin/org/hyssoprack/scheduling/RequestTable.kt
+++ b/core/scheduling/src/main/kotlin/org/hyssoprack/scheduling/RequestTable.kt
@@ -37,10 +37,6 @@
         return (waiting[kind]?.size ?: 0) + (waiting[other]?.size ?: 0)
     }
 
-    /** The waiting request of [kind] that has the least time left, or null. */
-    fun next(kind: SlotKind): EntryRequest? =
-        waiting[kind]?.values?.minByOrNull { it.latestDispatchAtMs }
-
     fun dispatched(request: EntryRequest) {
         removeWaiting(request)
         running[request.id] = request
--- a/core/scheduling/src/test/kotlin/org/hyssoprack/scheduling/DefaultEntrySchedulerTest.kt
+++ b/core/scheduling/src/test/kotlin/org/hyssoprack/scheduling/DefaultEntrySchedulerTest.kt
@@ -105,6 +105,25 @@
         assertThat(late.sent<SlotMessage.Return>().map { it.held }).containsExactly(0)
     }
 
+    @Example
+    fun `a slot goes to a request that will be in time on its server`() {
+        val entry = entry()
+        entry.submit(nowMs, request("hopeless", deadlineMs = 600).copy(completionTokens = 100))
+        entry.submit(nowMs, request("in-time", deadlineMs = 5_000).copy(completionTokens = 100))
+        entry.hear(SlotMessage.Digest(BackendServerId("s0"), digest(tokenMs = 10.0)))
+        assertThat(entry.hear(grant()).dispatched()).containsExactly("in-time")
+        assertThat(entry.hear(grant()).dispatched()).containsExactly("hopeless")
+    }
+
+    private fun digest(tokenMs: Double) = ServerDigest(
+        limit = 2,
+        lent = 2,
+        waiting = listOf(0, 2, 0),
+        firstTokenMs = 20.0,
+        tokenMs = tokenMs,
+        prefillTokensPerMs = 10.0
+    )
+
     @Example
     fun `an ended request is not dispatched when it is submitted again`() {
         val entry = entry()
