Wait longer before a request is cancelled than before one is suspended

Cause: on servers that cannot suspend, each preemption throws a prefill away, and most requests of the lowest tier would have ended within a second. Ways weighed: cancel only when the waiting request is about to be late (a letter with a deadline of 60 s would wait for half a minute on a pool of such servers); five times the pool's patience.

--- a/core/scheduling/src/main/kotlin/org/hyssoprack/scheduling/Shedding.kt
+++ b/core/scheduling/src/main/kotlin/org/hyssoprack/scheduling/Shedding.kt
@@ -29,7 +29,7 @@
         waiting.forEach { shedIfAllowed(nowMs, it) }
         if (verdict.lowerTierSlots == 0 || server.leaving) return
         val expecting = waiting.count { it.urgentServer == server.id && nowMs < it.urgentUntilMs }
-        waiting.filter { isUrgent(nowMs, it) && nowMs >= it.urgentUntilMs }
+        waiting.filter { isUrgent(nowMs, it, server) && nowMs >= it.urgentUntilMs }
             .take((verdict.lowerTierSlots - expecting).coerceAtLeast(0))
             .forEach { asking.askUrgently(nowMs, it, server) }
     }
@@ -51,12 +51,20 @@
         }
     }
 
-    private fun isUrgent(nowMs: Long, entry: EntryRequest): Boolean {
+    private fun isUrgent(nowMs: Long, entry: EntryRequest): Boolean =
+        isUrgent(nowMs, entry, patience = 1)
+
+    // Where a request of a lower tier can only be cancelled, its prefill is lost. Most end by
+    // themselves within the longer wait.
+    private fun isUrgent(nowMs: Long, entry: EntryRequest, server: FleetServer): Boolean =
+        isUrgent(nowMs, entry, patience = if (server.canSuspend) 1 else CANCEL_PATIENCE)
+
+    private fun isUrgent(nowMs: Long, entry: EntryRequest, patience: Int): Boolean {
         if (nowMs >= entry.request.deadlineAtMs) return false
         if (entry.shedCause != null) return true
         val pool = state.servers.pool(entry.request.pool) ?: return false
         val isLate = nowMs >= entry.latestDispatchAtMs - settings.shedLeadMs
-        return isLate || nowMs - entry.request.arrivedAtMs >= pool.preemptAfterMs
+        return isLate || nowMs - entry.request.arrivedAtMs >= pool.preemptAfterMs * patience
     }
 
     private fun check(nowMs: Long, kind: SlotKind, binding: Boolean) {
@@ -97,4 +105,9 @@
         detail = "the owner of a backend server did not answer or make room before the deadline",
         retryAfterMs = settings.leaseTermMs
     )
+
+    private companion object {
+        /** Multiple of the pool's `preemptAfterMs` on servers that cannot suspend. */
+        const val CANCEL_PATIENCE = 5
+    }
 }
