Replace every host in turn in its case, each once it takes calls again

Cause: the case chose the first host that is alive, which after its restart was the same one each time; and it sent calls while the host had a bundle but could not yet know that it is current, so that they were told 2005 (not run, which is true).

--- a/testing/integration/src/main/kotlin/org/hyssoprack/integration/deployment/DeploymentUnderTest.kt
+++ b/testing/integration/src/main/kotlin/org/hyssoprack/integration/deployment/DeploymentUnderTest.kt
@@ -71,7 +71,7 @@
         host.launch(seeds())
         awaitStarted(host)
         stopping.remove(host)
-        await("a bundle in force on ${host.name}") { operators.activeVersion(host) > 0 }
+        await("${host.name} takes calls") { host.takesCalls() }
     }
 
     /** Marks the backend server [name] in the host list. */
--- a/testing/integration/src/main/kotlin/org/hyssoprack/integration/deployment/HostUnderTest.kt
+++ b/testing/integration/src/main/kotlin/org/hyssoprack/integration/deployment/HostUnderTest.kt
@@ -88,6 +88,13 @@
         }
     }
 
+    /** True if the host takes calls in: it looks at a body only when it knows its bundle is current. */
+    fun takesCalls(): Boolean {
+        val url = "http://$callers/v1/completions"
+        val key = TestPolicy.keyOf(TestPolicy.ACCOUNT)
+        return Http.send("POST", url, body = "{}", bearer = key).status == BAD_REQUEST
+    }
+
     /** Host names that `GET /v1/hosts` gives to callers, asked directly. */
     fun listedHosts(): List<String> =
         hostEntries().map { it.getValue("host").jsonPrimitive.content }
@@ -142,6 +149,7 @@
         const val HEAP_MB = 192
         const val START_TIMEOUT_MS = 30_000L
         const val STEP_MS = 50L
+        const val BAD_REQUEST = 400
         const val ADDRESS_TTL_MS = 1_000L
         val PROXIED = listOf("callers", "link", "table", "objects", "hostlist")
     }
--- a/testing/integration/src/test/kotlin/org/hyssoprack/integration/cases/ChangeCases.kt
+++ b/testing/integration/src/test/kotlin/org/hyssoprack/integration/cases/ChangeCases.kt
@@ -74,15 +74,7 @@
             Fault.BURST,
             "all hosts replaced in turn under load"
         ) { shared ->
-            shared.deployment.hosts.forEach { _ ->
-                stop(
-                    shared,
-                    signals = 1,
-                    host = shared.deployment.hosts.indexOfFirst {
-                        it.isAlive
-                    }
-                )
-            }
+            shared.deployment.hosts.indices.forEach { stop(shared, signals = 1, host = it) }
         }
     )
 
