Leave hosts without a bundle out of the addresses for callers

Cause: a host that has just started was listed at once, and refused every call with 2005 or 2010 until it knew the bundle in force (seen in the case of hosts replaced in turn).

--- a/core/membership/src/test/kotlin/org/hyssoprack/membership/CallerAddressesTest.kt
+++ b/core/membership/src/test/kotlin/org/hyssoprack/membership/CallerAddressesTest.kt
@@ -7,6 +7,7 @@
 import assertk.assertions.isEqualTo
 import kotlin.random.Random
 import net.jqwik.api.Example
+import org.hyssoprack.common.BundleVersion
 import org.hyssoprack.common.FailureDomain
 import org.hyssoprack.common.Region
 
@@ -24,6 +25,12 @@
         Case("leaving ones are left out", pick(0) + state(3, MemberState.LEAVING), listOf(0)),
         Case("suspected ones are left out", pick(0) + state(3, MemberState.SUSPECT), listOf(0)),
         Case("dead ones are left out", pick(0) + state(3, MemberState.DEAD), listOf(0)),
+        Case("hosts without a bundle are left out", listOf(bundle(0, 7)) + pick(3), listOf(0)),
+        Case(
+            "before the first bundle all are listed",
+            listOf(loaded(0, 9), loaded(3, 90)),
+            listOf(0, 3)
+        ),
         Case("none", emptyList(), emptyList())
     )
 
@@ -65,6 +72,9 @@
 
     private fun loaded(index: Int, load: Int) = MemberNetwork.member(index).copy(load = load)
 
+    private fun bundle(index: Int, version: Long) =
+        MemberNetwork.member(index).copy(bundle = BundleVersion(version))
+
     private fun state(index: Int, state: MemberState) =
         MemberNetwork.member(index).copy(state = state)
 
