Name the steps by which the fleet is built and published

Cause: a lambda of four arguments in the middle of a flow was hard to read, and a discarded result in the owner's task likewise. Measured: the tests of the host module pass as before.

--- a/host/src/main/kotlin/org/hyssoprack/host/FleetTask.kt
+++ b/host/src/main/kotlin/org/hyssoprack/host/FleetTask.kt
@@ -17,6 +17,7 @@
 import org.hyssoprack.platform.BackendServer
 import org.hyssoprack.platform.HostList
 import org.hyssoprack.scheduling.Fleet
+import org.hyssoprack.settings.ActiveBundle
 import org.hyssoprack.settings.BundleHolder
 
 /**
@@ -55,23 +56,21 @@
     /** Starts the task in [scope]. */
     fun start(scope: CoroutineScope): Job = scope.launch {
         launch { pollHostList() }
-        combine(
-            servers,
-            unavailable,
-            membership.view.distinctUntilChanged(::sameOwners),
-            bundles.active
-        ) {
-                list,
-                away,
-                view,
-                bundle
-            ->
-            bundle?.let { builder.build(list.values, away, view, it.policy) }
-        }.collect { fleet ->
-            if (fleet == null || fleet == current.value) return@collect
-            current.value = fleet
-            onFleet(fleet)
-        }
+        val view = membership.view.distinctUntilChanged(::sameOwners)
+        combine(servers, unavailable, view, bundles.active, ::build).collect(::publish)
+    }
+
+    private fun build(
+        list: Map<BackendServerId, BackendServer>,
+        away: Set<BackendServerId>,
+        view: MemberView,
+        bundle: ActiveBundle?
+    ): Fleet? = bundle?.let { builder.build(list.values, away, view, it.policy) }
+
+    private fun publish(fleet: Fleet?) {
+        if (fleet == null || fleet == current.value) return
+        current.value = fleet
+        onFleet(fleet)
     }
 
     private suspend fun pollHostList() {
--- a/host/src/main/kotlin/org/hyssoprack/host/OwnerTask.kt
+++ b/host/src/main/kotlin/org/hyssoprack/host/OwnerTask.kt
@@ -68,9 +68,11 @@
         return when (command) {
             is OwnerCommand.Received -> scheduler.receive(now, command.from, command.message)
             is OwnerCommand.FleetChanged -> scheduler.updateFleet(now, command.fleet)
-            is OwnerCommand.LoadReported ->
+            is OwnerCommand.LoadReported -> {
                 scheduler.loadReported(now, command.server, command.running, command.queued)
-                    .let { emptyList() }
+                emptyList()
+            }
+
             is OwnerCommand.HostGone -> scheduler.hostGone(now, command.host)
             OwnerCommand.Tick -> scheduler.tick(now).also { digests = scheduler.digests() }
         }
