--- a/core/scheduling/src/test/kotlin/org/hyssoprack/scheduling/Model.kt
+++ b/core/scheduling/src/test/kotlin/org/hyssoprack/scheduling/Model.kt
@@ -333,13 +333,6 @@
         var alive = true
     }
 
-    private class Packet(
-        val from: HostRef,
-        val to: HostId,
-        val message: SlotMessage,
-        val dueMs: Long
-    )
-
     companion object {
         const val STEP_MS = 5L
         const val DOMAINS = 3
