--- a/backend/api/src/main/kotlin/org/hyssoprack/backend/EngineClient.kt
+++ b/backend/api/src/main/kotlin/org/hyssoprack/backend/EngineClient.kt
@@ -4,7 +4,7 @@
 import kotlinx.coroutines.flow.Flow
 import org.hyssoprack.common.Failure
 import org.hyssoprack.common.RequestId
-import org.hyssoprack.platform.BackendServer
+import org.hyssoprack.store.BackendServer
 
 /** Calls to model engines. Implementations never send a completion twice. */
 interface EngineClient {
--- a/backend/api/src/main/kotlin/org/hyssoprack/backend/ServiceClient.kt
+++ b/backend/api/src/main/kotlin/org/hyssoprack/backend/ServiceClient.kt
@@ -2,7 +2,7 @@
 
 import arrow.core.Either
 import org.hyssoprack.common.Failure
-import org.hyssoprack.platform.BackendServer
+import org.hyssoprack.store.BackendServer
 
 /** Calls to plain services. Implementations never send a call twice. */
 interface ServiceClient {
--- a/backend/http/src/main/kotlin/org/hyssoprack/backend/http/AnswerConnection.kt
+++ b/backend/http/src/main/kotlin/org/hyssoprack/backend/http/AnswerConnection.kt
@@ -14,7 +14,7 @@
 import org.hyssoprack.common.Clock
 import org.hyssoprack.common.Failure
 import org.hyssoprack.common.ResultCode
-import org.hyssoprack.platform.BackendServer
+import org.hyssoprack.store.BackendServer
 
 /**
  * Reads an answer from one connection. Only calls to the network are guarded: an exception of the
--- a/backend/http/src/main/kotlin/org/hyssoprack/backend/http/BackendHttp.kt
+++ b/backend/http/src/main/kotlin/org/hyssoprack/backend/http/BackendHttp.kt
@@ -3,7 +3,7 @@
 import io.ktor.client.HttpClient
 import io.ktor.client.engine.cio.CIO
 import io.ktor.client.engine.cio.endpoint
-import org.hyssoprack.platform.BackendServer
+import org.hyssoprack.store.BackendServer
 
 /** Header names and the HTTP client that calls to backend servers share. */
 internal object BackendHttp {
--- a/backend/http/src/main/kotlin/org/hyssoprack/backend/http/ControlCalls.kt
+++ b/backend/http/src/main/kotlin/org/hyssoprack/backend/http/ControlCalls.kt
@@ -21,7 +21,7 @@
 import org.hyssoprack.backend.EngineStatus
 import org.hyssoprack.common.Failure
 import org.hyssoprack.common.ResultCode
-import org.hyssoprack.platform.BackendServer
+import org.hyssoprack.store.BackendServer
 
 /**
  * Short calls to backend servers beside completions. A call fails with BACKEND_REFUSED if it had no
--- a/backend/http/src/main/kotlin/org/hyssoprack/backend/http/HttpEngineClient.kt
+++ b/backend/http/src/main/kotlin/org/hyssoprack/backend/http/HttpEngineClient.kt
@@ -31,7 +31,7 @@
 import org.hyssoprack.common.RequestId
 import org.hyssoprack.common.ResultCode
 import org.hyssoprack.common.SystemClock
-import org.hyssoprack.platform.BackendServer
+import org.hyssoprack.store.BackendServer
 
 /**
  * [EngineClient] over HTTP.
--- a/backend/http/src/main/kotlin/org/hyssoprack/backend/http/HttpServiceClient.kt
+++ b/backend/http/src/main/kotlin/org/hyssoprack/backend/http/HttpServiceClient.kt
@@ -24,7 +24,7 @@
 import org.hyssoprack.backend.ServiceClient
 import org.hyssoprack.common.Failure
 import org.hyssoprack.common.ResultCode
-import org.hyssoprack.platform.BackendServer
+import org.hyssoprack.store.BackendServer
 
 /**
  * [ServiceClient] over HTTP.
--- a/backend/http/src/main/kotlin/org/hyssoprack/backend/http/ResponseCheck.kt
+++ b/backend/http/src/main/kotlin/org/hyssoprack/backend/http/ResponseCheck.kt
@@ -6,7 +6,7 @@
 import org.hyssoprack.common.Failure
 import org.hyssoprack.common.RequestId
 import org.hyssoprack.common.ResultCode
-import org.hyssoprack.platform.BackendServer
+import org.hyssoprack.store.BackendServer
 
 /** Checks the head of an answer. */
 internal object ResponseCheck {
--- a/backend/http/src/main/kotlin/org/hyssoprack/backend/http/TransportFailure.kt
+++ b/backend/http/src/main/kotlin/org/hyssoprack/backend/http/TransportFailure.kt
@@ -6,7 +6,7 @@
 import java.net.NoRouteToHostException
 import org.hyssoprack.common.Failure
 import org.hyssoprack.common.ResultCode
-import org.hyssoprack.platform.BackendServer
+import org.hyssoprack.store.BackendServer
 
 /** Tells from an exception of the HTTP client whether a call may have reached its server. */
 internal object TransportFailure {
--- a/backend/http/src/test/kotlin/org/hyssoprack/backend/http/EngineFixture.kt
+++ b/backend/http/src/test/kotlin/org/hyssoprack/backend/http/EngineFixture.kt
@@ -10,8 +10,8 @@
 import org.hyssoprack.common.ModelId
 import org.hyssoprack.common.NetworkAddress
 import org.hyssoprack.common.RequestId
-import org.hyssoprack.platform.BackendServer
-import org.hyssoprack.platform.BackendServerKind
+import org.hyssoprack.store.BackendServer
+import org.hyssoprack.store.BackendServerKind
 import org.hyssoprack.standins.engine.EngineFaults
 import org.hyssoprack.standins.engine.EngineServer
 import org.hyssoprack.standins.engine.EngineSettings
--- a/backend/http/src/test/kotlin/org/hyssoprack/backend/http/HttpServiceClientTest.kt
+++ b/backend/http/src/test/kotlin/org/hyssoprack/backend/http/HttpServiceClientTest.kt
@@ -13,7 +13,7 @@
 import org.hyssoprack.common.Outcome
 import org.hyssoprack.common.RequestId
 import org.hyssoprack.common.ResultCode
-import org.hyssoprack.platform.BackendServer
+import org.hyssoprack.store.BackendServer
 import org.hyssoprack.standins.service.ServiceFaults
 import org.hyssoprack.standins.service.ServiceServer
 import org.hyssoprack.standins.service.ServiceSettings
--- a/backend/http/src/test/kotlin/org/hyssoprack/backend/http/SilentServer.kt
+++ b/backend/http/src/test/kotlin/org/hyssoprack/backend/http/SilentServer.kt
@@ -7,7 +7,7 @@
 import kotlinx.coroutines.withTimeout
 import org.hyssoprack.backend.EngineCall
 import org.hyssoprack.backend.EngineEvent
-import org.hyssoprack.platform.BackendServer
+import org.hyssoprack.store.BackendServer
 
 /** Takes connections on a socket, and never reads nor writes. */
 internal class SilentServer(private val socket: ServerSocket) {
--- a/bench/src/main/kotlin/org/hyssoprack/bench/capacity/PollCapacity.kt
+++ b/bench/src/main/kotlin/org/hyssoprack/bench/capacity/PollCapacity.kt
@@ -11,8 +11,8 @@
 import org.hyssoprack.common.BackendServerId
 import org.hyssoprack.common.FailureDomain
 import org.hyssoprack.common.NetworkAddress
-import org.hyssoprack.platform.BackendServer
-import org.hyssoprack.platform.BackendServerKind
+import org.hyssoprack.store.BackendServer
+import org.hyssoprack.store.BackendServerKind
 
 /** Measures what it costs an owner to ask its backend servers for load reports over HTTP. */
 internal class PollCapacity {
--- a/bench/src/main/kotlin/org/hyssoprack/bench/deployment/Deployment.kt
+++ b/bench/src/main/kotlin/org/hyssoprack/bench/deployment/Deployment.kt
@@ -4,7 +4,7 @@
 import kotlin.io.path.createDirectories
 import org.hyssoprack.bench.load.CallerTarget
 import org.hyssoprack.burn.BurnReport
-import org.hyssoprack.platform.BackendServer
+import org.hyssoprack.store.BackendServer
 import org.hyssoprack.standins.engine.EngineFaults
 import org.hyssoprack.standins.engine.EngineSettings
 
--- a/bench/src/main/kotlin/org/hyssoprack/bench/deployment/EngineFleet.kt
+++ b/bench/src/main/kotlin/org/hyssoprack/bench/deployment/EngineFleet.kt
@@ -5,8 +5,8 @@
 import kotlinx.serialization.json.Json
 import org.hyssoprack.common.FailureDomain
 import org.hyssoprack.common.NetworkAddress
-import org.hyssoprack.platform.BackendServer
-import org.hyssoprack.platform.BackendServerKind
+import org.hyssoprack.store.BackendServer
+import org.hyssoprack.store.BackendServerKind
 import org.hyssoprack.standins.engine.EngineSettings
 
 /** Emulated engines, one process each. */
--- a/bench/src/main/kotlin/org/hyssoprack/bench/deployment/Platform.kt
+++ b/bench/src/main/kotlin/org/hyssoprack/bench/deployment/Platform.kt
@@ -3,7 +3,7 @@
 import java.nio.file.Path
 import kotlin.io.path.writeText
 import kotlinx.serialization.json.Json
-import org.hyssoprack.platform.BackendServer
+import org.hyssoprack.store.BackendServer
 
 /** Stand-ins of the platform's services, one process each. */
 internal class Platform(directory: Path, servers: List<BackendServer>) : AutoCloseable {
--- a/core/claims/src/main/kotlin/org/hyssoprack/claims/ClaimAttempt.kt
+++ b/core/claims/src/main/kotlin/org/hyssoprack/claims/ClaimAttempt.kt
@@ -2,9 +2,9 @@
 
 import org.hyssoprack.common.Failure
 import org.hyssoprack.common.ResultCode
-import org.hyssoprack.platform.Row
-import org.hyssoprack.platform.TableService
-import org.hyssoprack.platform.WriteResult
+import org.hyssoprack.store.Row
+import org.hyssoprack.store.TableService
+import org.hyssoprack.store.WriteResult
 
 /** One attempt to claim a call. Only a row that is seen to be the attempt's own grants it. */
 internal class ClaimAttempt(
--- a/core/claims/src/main/kotlin/org/hyssoprack/claims/ClaimRepair.kt
+++ b/core/claims/src/main/kotlin/org/hyssoprack/claims/ClaimRepair.kt
@@ -1,6 +1,6 @@
 package org.hyssoprack.claims
 
-import org.hyssoprack.platform.RowKey
+import org.hyssoprack.store.RowKey
 
 /** A change to the row of one attempt of this host that has not been seen to take effect yet. */
 internal sealed interface ClaimRepair {
--- a/core/claims/src/main/kotlin/org/hyssoprack/claims/ClaimRepairer.kt
+++ b/core/claims/src/main/kotlin/org/hyssoprack/claims/ClaimRepairer.kt
@@ -1,8 +1,8 @@
 package org.hyssoprack.claims
 
-import org.hyssoprack.platform.Row
-import org.hyssoprack.platform.TableService
-import org.hyssoprack.platform.WriteResult
+import org.hyssoprack.store.Row
+import org.hyssoprack.store.TableService
+import org.hyssoprack.store.WriteResult
 
 /** Carries out repairs, each only on a row of its own attempt or on the row that it expected. */
 internal class ClaimRepairer(private val table: TableService) {
--- a/core/claims/src/main/kotlin/org/hyssoprack/claims/ClaimRow.kt
+++ b/core/claims/src/main/kotlin/org/hyssoprack/claims/ClaimRow.kt
@@ -5,8 +5,8 @@
 import kotlinx.serialization.encodeToString
 import kotlinx.serialization.json.Json
 import org.hyssoprack.common.HostRef
-import org.hyssoprack.platform.Row
-import org.hyssoprack.platform.RowKey
+import org.hyssoprack.store.Row
+import org.hyssoprack.store.RowKey
 
 /** Body of a claim's row in the table service; [attempt] is unique among all attempts. */
 @Serializable
--- a/core/claims/src/main/kotlin/org/hyssoprack/claims/DefaultClaimService.kt
+++ b/core/claims/src/main/kotlin/org/hyssoprack/claims/DefaultClaimService.kt
@@ -11,9 +11,9 @@
 import org.hyssoprack.common.HostRef
 import org.hyssoprack.common.ResultCode
 import org.hyssoprack.common.SilentEventLog
-import org.hyssoprack.platform.RowKey
-import org.hyssoprack.platform.TableService
-import org.hyssoprack.platform.WriteResult
+import org.hyssoprack.store.RowKey
+import org.hyssoprack.store.TableService
+import org.hyssoprack.store.WriteResult
 
 /**
  * [ClaimService] over the table service. [scope] carries the repairs of rows whose last write is
--- a/core/claims/src/test/kotlin/org/hyssoprack/claims/ClaimServiceTest.kt
+++ b/core/claims/src/test/kotlin/org/hyssoprack/claims/ClaimServiceTest.kt
@@ -20,10 +20,10 @@
 import org.hyssoprack.common.IdempotencyKey
 import org.hyssoprack.common.Incarnation
 import org.hyssoprack.common.ResultCode
-import org.hyssoprack.platform.Row
-import org.hyssoprack.platform.RowKey
-import org.hyssoprack.platform.TableService
-import org.hyssoprack.platform.WriteResult
+import org.hyssoprack.store.Row
+import org.hyssoprack.store.RowKey
+import org.hyssoprack.store.TableService
+import org.hyssoprack.store.WriteResult
 
 class ClaimServiceTest {
     private val key = ClaimKey(ClientAccount("a"), IdempotencyKey("k"))
--- a/core/claims/src/test/kotlin/org/hyssoprack/claims/FakeTable.kt
+++ b/core/claims/src/test/kotlin/org/hyssoprack/claims/FakeTable.kt
@@ -8,10 +8,10 @@
 import kotlinx.coroutines.launch
 import org.hyssoprack.common.Failure
 import org.hyssoprack.common.ResultCode
-import org.hyssoprack.platform.Row
-import org.hyssoprack.platform.RowKey
-import org.hyssoprack.platform.TableService
-import org.hyssoprack.platform.WriteResult
+import org.hyssoprack.store.Row
+import org.hyssoprack.store.RowKey
+import org.hyssoprack.store.TableService
+import org.hyssoprack.store.WriteResult
 
 /** Table service in memory that refuses calls, loses replies and applies writes late. */
 internal class FakeTable(
--- a/core/common/src/main/kotlin/org/hyssoprack/common/ResultCode.kt
+++ b/core/common/src/main/kotlin/org/hyssoprack/common/ResultCode.kt
@@ -29,6 +29,7 @@
     GIVEN_UP(2008, Outcome.NOT_RUN, 409, "Another host took over the request before dispatch."),
     CALLER_LEFT(2009, Outcome.NOT_RUN, 499, "The caller closed the connection before dispatch."),
     NO_SETTINGS(2010, Outcome.NOT_RUN, 503, "No settings bundle has been accepted yet."),
+    QUOTA_EXCEEDED(2011, Outcome.NOT_RUN, 429, "The account's quota is used up for now."),
 
     STREAM_BROKEN(3000, Outcome.UNKNOWN, 502, "The answer broke off and could not be resumed."),
     STREAM_SILENT(3001, Outcome.UNKNOWN, 504, "The backend server sent nothing for too long."),
@@ -50,6 +51,8 @@
     HEADER_INVALID(4007, Outcome.NOT_RUN, 400, "A header's value is not of the expected form."),
     REQUEST_INCOMPLETE(4008, Outcome.NOT_RUN, 408, "The request did not arrive in time."),
     PATH_UNKNOWN(4010, Outcome.NOT_RUN, 404, "The path does not exist."),
+    HEADERS_TOO_LARGE(4012, Outcome.NOT_RUN, 431, "The head of the request is over the limit."),
+    REQUEST_MALFORMED(4013, Outcome.NOT_RUN, 400, "The request is not proper HTTP/1.1."),
     KEY_REUSED(4011, Outcome.NOT_RUN, 422, "The idempotency key was used for another body."),
 
     SETTINGS_INVALID(5000, Outcome.NOT_RUN, 422, "A settings file or bundle has faults."),
@@ -66,6 +69,7 @@
     STORE_UNAVAILABLE(6000, Outcome.NOT_RUN, 503, "The platform's store does not answer."),
     STORE_LIMITED(6001, Outcome.NOT_RUN, 429, "The platform's store limits the rate of calls."),
     HOST_UNREACHABLE(6002, Outcome.NOT_RUN, 503, "Another host could not be reached."),
+    HISTORY_LOST(6004, Outcome.NOT_RUN, 410, "The store no longer has the changes asked for."),
     INTERNAL(6003, Outcome.UNKNOWN, 500, "A fault inside the system.")
     ;
 
--- a/core/membership/src/main/kotlin/org/hyssoprack/membership/TableMemberDirectory.kt
+++ b/core/membership/src/main/kotlin/org/hyssoprack/membership/TableMemberDirectory.kt
@@ -9,10 +9,10 @@
 import org.hyssoprack.common.HostId
 import org.hyssoprack.common.HostRef
 import org.hyssoprack.common.ResultCode
-import org.hyssoprack.platform.Row
-import org.hyssoprack.platform.RowKey
-import org.hyssoprack.platform.TableService
-import org.hyssoprack.platform.WriteResult
+import org.hyssoprack.store.Row
+import org.hyssoprack.store.RowKey
+import org.hyssoprack.store.TableService
+import org.hyssoprack.store.WriteResult
 
 /** [MemberDirectory] with one row of the table service for each host. */
 class TableMemberDirectory(private val table: TableService) : MemberDirectory {
--- a/core/membership/src/test/kotlin/org/hyssoprack/membership/FakeTable.kt
+++ b/core/membership/src/test/kotlin/org/hyssoprack/membership/FakeTable.kt
@@ -7,10 +7,10 @@
 import kotlinx.coroutines.delay
 import org.hyssoprack.common.Failure
 import org.hyssoprack.common.ResultCode
-import org.hyssoprack.platform.Row
-import org.hyssoprack.platform.RowKey
-import org.hyssoprack.platform.TableService
-import org.hyssoprack.platform.WriteResult
+import org.hyssoprack.store.Row
+import org.hyssoprack.store.RowKey
+import org.hyssoprack.store.TableService
+import org.hyssoprack.store.WriteResult
 
 /** Table service in memory whose faults are set by the test. */
 internal class FakeTable : TableService {
--- a/core/orders/src/main/kotlin/org/hyssoprack/orders/DefaultOrderService.kt
+++ b/core/orders/src/main/kotlin/org/hyssoprack/orders/DefaultOrderService.kt
@@ -20,9 +20,9 @@
 import org.hyssoprack.common.ResultCode
 import org.hyssoprack.common.SilentEventLog
 import org.hyssoprack.common.eq
-import org.hyssoprack.platform.BackendServer
-import org.hyssoprack.platform.TableService
-import org.hyssoprack.platform.WeightStore
+import org.hyssoprack.store.BackendServer
+import org.hyssoprack.store.TableService
+import org.hyssoprack.store.WeightStore
 
 /**
  * [OrderService] with a lease row and a fencing number for each backend server. The lease is
--- a/core/orders/src/main/kotlin/org/hyssoprack/orders/LeaseRow.kt
+++ b/core/orders/src/main/kotlin/org/hyssoprack/orders/LeaseRow.kt
@@ -7,8 +7,8 @@
 import org.hyssoprack.common.BackendServerId
 import org.hyssoprack.common.FencingNumber
 import org.hyssoprack.common.HostRef
-import org.hyssoprack.platform.Row
-import org.hyssoprack.platform.RowKey
+import org.hyssoprack.store.Row
+import org.hyssoprack.store.RowKey
 
 /**
  * Body of the row that says which host gives orders to a backend server.
--- a/core/orders/src/main/kotlin/org/hyssoprack/orders/LeaseTaker.kt
+++ b/core/orders/src/main/kotlin/org/hyssoprack/orders/LeaseTaker.kt
@@ -10,10 +10,10 @@
 import org.hyssoprack.common.FencingNumber
 import org.hyssoprack.common.HostRef
 import org.hyssoprack.common.ResultCode
-import org.hyssoprack.platform.BackendServer
-import org.hyssoprack.platform.Row
-import org.hyssoprack.platform.TableService
-import org.hyssoprack.platform.WriteResult
+import org.hyssoprack.store.BackendServer
+import org.hyssoprack.store.Row
+import org.hyssoprack.store.TableService
+import org.hyssoprack.store.WriteResult
 
 /**
  * Takes and renews order leases. No host relies on another's clock: whoever wants a lease that is
--- a/core/orders/src/main/kotlin/org/hyssoprack/orders/OrderService.kt
+++ b/core/orders/src/main/kotlin/org/hyssoprack/orders/OrderService.kt
@@ -3,7 +3,7 @@
 import arrow.core.Either
 import org.hyssoprack.backend.EngineStatus
 import org.hyssoprack.common.Failure
-import org.hyssoprack.platform.BackendServer
+import org.hyssoprack.store.BackendServer
 
 /** Orders to engines. At most one host at a time gives orders to a backend server. */
 interface OrderService {
--- a/core/orders/src/main/kotlin/org/hyssoprack/orders/VersionChooser.kt
+++ b/core/orders/src/main/kotlin/org/hyssoprack/orders/VersionChooser.kt
@@ -9,8 +9,8 @@
 import org.hyssoprack.common.Failure
 import org.hyssoprack.common.ModelId
 import org.hyssoprack.common.ResultCode
-import org.hyssoprack.platform.ModelVersion
-import org.hyssoprack.platform.WeightStore
+import org.hyssoprack.store.ModelVersion
+import org.hyssoprack.store.WeightStore
 
 /** Finds the version to load. One call to the weight store at a time, its answers kept a while. */
 internal class VersionChooser(
--- a/core/orders/src/test/kotlin/org/hyssoprack/orders/FakeEngine.kt
+++ b/core/orders/src/test/kotlin/org/hyssoprack/orders/FakeEngine.kt
@@ -17,7 +17,7 @@
 import org.hyssoprack.common.ModelId
 import org.hyssoprack.common.RequestId
 import org.hyssoprack.common.ResultCode
-import org.hyssoprack.platform.BackendServer
+import org.hyssoprack.store.BackendServer
 
 /** One engine that takes orders in memory. */
 internal class FakeEngine : EngineClient {
--- a/core/orders/src/test/kotlin/org/hyssoprack/orders/FakeTable.kt
+++ b/core/orders/src/test/kotlin/org/hyssoprack/orders/FakeTable.kt
@@ -5,10 +5,10 @@
 import arrow.core.right
 import org.hyssoprack.common.Failure
 import org.hyssoprack.common.ResultCode
-import org.hyssoprack.platform.Row
-import org.hyssoprack.platform.RowKey
-import org.hyssoprack.platform.TableService
-import org.hyssoprack.platform.WriteResult
+import org.hyssoprack.store.Row
+import org.hyssoprack.store.RowKey
+import org.hyssoprack.store.TableService
+import org.hyssoprack.store.WriteResult
 
 /** Table service in memory whose next write can lose its reply. */
 internal class FakeTable(private val step: suspend () -> Unit = {}) : TableService {
--- a/core/orders/src/test/kotlin/org/hyssoprack/orders/FakeWeights.kt
+++ b/core/orders/src/test/kotlin/org/hyssoprack/orders/FakeWeights.kt
@@ -6,8 +6,8 @@
 import org.hyssoprack.common.Failure
 import org.hyssoprack.common.ModelId
 import org.hyssoprack.common.ResultCode
-import org.hyssoprack.platform.ModelVersion
-import org.hyssoprack.platform.WeightStore
+import org.hyssoprack.store.ModelVersion
+import org.hyssoprack.store.WeightStore
 
 /** Weight store with the versions 1 and 2 of every model; refuses the next [limited] calls. */
 internal class FakeWeights(private var limited: Int = 0) : WeightStore {
--- a/core/orders/src/test/kotlin/org/hyssoprack/orders/OrderPropertyTest.kt
+++ b/core/orders/src/test/kotlin/org/hyssoprack/orders/OrderPropertyTest.kt
@@ -19,8 +19,8 @@
 import org.hyssoprack.common.ManualClock
 import org.hyssoprack.common.ModelId
 import org.hyssoprack.common.NetworkAddress
-import org.hyssoprack.platform.BackendServer
-import org.hyssoprack.platform.BackendServerKind
+import org.hyssoprack.store.BackendServer
+import org.hyssoprack.store.BackendServerKind
 
 class OrderPropertyTest {
     @Property(tries = 2_000, seed = "20261204")
--- a/core/orders/src/test/kotlin/org/hyssoprack/orders/OrderServiceTest.kt
+++ b/core/orders/src/test/kotlin/org/hyssoprack/orders/OrderServiceTest.kt
@@ -17,8 +17,8 @@
 import org.hyssoprack.common.ModelId
 import org.hyssoprack.common.NetworkAddress
 import org.hyssoprack.common.ResultCode
-import org.hyssoprack.platform.BackendServer
-import org.hyssoprack.platform.BackendServerKind
+import org.hyssoprack.store.BackendServer
+import org.hyssoprack.store.BackendServerKind
 
 class OrderServiceTest {
     private val settings = OrderSettings()
--- /dev/null
+++ b/core/serving/src/main/kotlin/org/hyssoprack/serving/fleet/RegisteredServer.kt
@@ -0,0 +1,27 @@
+package org.hyssoprack.serving.fleet
+
+import org.hyssoprack.common.BackendServerId
+import org.hyssoprack.common.FailureDomain
+import org.hyssoprack.common.NetworkAddress
+import org.hyssoprack.common.ServiceId
+
+/**
+ * What a backend server says of itself in the store.
+ *
+ * @property bornMs time of its start in milliseconds since the epoch; tells two runs apart that
+ *   share an id. Null if the server does not say.
+ * @property slots requests that it works on at once.
+ */
+data class RegisteredServer(
+    val id: BackendServerId,
+    val service: ServiceId,
+    val address: NetworkAddress,
+    val domain: FailureDomain,
+    val slots: Int,
+    val isLeaving: Boolean = false,
+    val bornMs: Long? = null
+) {
+    /** Whether [other] is the same run of the same server. */
+    fun isSameRun(other: RegisteredServer): Boolean =
+        id == other.id && address == other.address && bornMs == other.bornMs
+}
--- /dev/null
+++ b/core/serving/src/main/kotlin/org/hyssoprack/serving/queue/DispatchQueue.kt
@@ -0,0 +1,32 @@
+package org.hyssoprack.serving.queue
+
+/**
+ * Orders the requests of one service that wait for a slot: urgent ranks first, within a rank those
+ * that can still be in time, and among these the oldest first.
+ */
+class DispatchQueue {
+    private val waiting = ArrayList<QueuedRequest>()
+
+    val size: Int get() = waiting.size
+
+    fun add(request: QueuedRequest) {
+        waiting += request
+    }
+
+    fun remove(request: QueuedRequest): Boolean = waiting.remove(request)
+
+    /** Number of requests that would be served before a new one of [rank]. */
+    fun ahead(rank: Int): Int = waiting.count { it.rank <= rank }
+
+    /** Waiting requests in the order in which they should be served. */
+    fun ordered(nowMs: Long): List<QueuedRequest> = waiting.sortedWith(
+        compareBy({ it.rank }, { !it.isInTime(nowMs) }, { it.arrivedMs })
+    )
+
+    /** Removes and returns the requests whose time to wait is over. */
+    fun takeExpired(nowMs: Long): List<QueuedRequest> {
+        val expired = waiting.filter { it.giveUpMs <= nowMs }
+        waiting.removeAll(expired.toSet())
+        return expired
+    }
+}
--- /dev/null
+++ b/core/serving/src/main/kotlin/org/hyssoprack/serving/settings/QuotaUnit.kt
@@ -0,0 +1,4 @@
+package org.hyssoprack.serving.settings
+
+/** What an account's quota counts. */
+enum class QuotaUnit { REQUESTS, TOKENS }
--- /dev/null
+++ b/core/serving/src/main/kotlin/org/hyssoprack/serving/settings/ServingSettings.kt
@@ -0,0 +1,40 @@
+package org.hyssoprack.serving.settings
+
+import org.hyssoprack.common.BundleVersion
+import org.hyssoprack.common.ServiceId
+
+/**
+ * One accepted version of the operators' settings, indexed for look-ups.
+ *
+ * @property accounts client accounts by their keys; null if no keys are in use.
+ */
+class ServingSettings(
+    val version: BundleVersion,
+    routes: List<Route>,
+    services: List<ServiceSpec>,
+    val limits: CallerLimits = CallerLimits(),
+    private val accounts: Map<String, Account>? = null
+) {
+    private val routesByHost: Map<String, Map<String, Route>> =
+        routes.groupBy { it.host }.mapValues { (_, list) -> list.associateBy { it.prefix } }
+
+    val services: Map<ServiceId, ServiceSpec> = services.associateBy { it.id }
+
+    val routeCount: Int = routes.size
+
+    val keysInUse: Boolean get() = accounts != null
+
+    /** The account that holds [key], or null. */
+    fun accountOf(key: String): Account? = accounts?.get(key)
+
+    /** The route of [host] with the longest prefix of [path]; a query does not count. */
+    fun routeFor(host: String, path: String): Route? {
+        val prefixes = routesByHost[host] ?: return null
+        var end = path.substringBefore('?').lastIndexOf('/')
+        while (end >= 0) {
+            prefixes[path.substring(0, end + 1)]?.let { return it }
+            end = if (end == 0) -1 else path.lastIndexOf('/', end - 1)
+        }
+        return null
+    }
+}
--- a/core/settings/src/main/kotlin/org/hyssoprack/settings/BundleHistory.kt
+++ b/core/settings/src/main/kotlin/org/hyssoprack/settings/BundleHistory.kt
@@ -4,8 +4,8 @@
 import arrow.core.raise.either
 import org.hyssoprack.common.BundleVersion
 import org.hyssoprack.common.Failure
-import org.hyssoprack.platform.TableService
-import org.hyssoprack.platform.WriteResult
+import org.hyssoprack.store.TableService
+import org.hyssoprack.store.WriteResult
 
 /**
  * Rows of former accepted bundles. The row of a version is written before the accepted row moves on
--- a/core/settings/src/main/kotlin/org/hyssoprack/settings/BundleRows.kt
+++ b/core/settings/src/main/kotlin/org/hyssoprack/settings/BundleRows.kt
@@ -10,8 +10,8 @@
 import org.hyssoprack.common.ContentHash
 import org.hyssoprack.common.Failure
 import org.hyssoprack.common.ResultCode
-import org.hyssoprack.platform.Row
-import org.hyssoprack.platform.RowKey
+import org.hyssoprack.store.Row
+import org.hyssoprack.store.RowKey
 
 /** Keys and bodies of the rows that bundles use in the table service. */
 object BundleRows {
--- a/core/settings/src/main/kotlin/org/hyssoprack/settings/DefaultBundleHolder.kt
+++ b/core/settings/src/main/kotlin/org/hyssoprack/settings/DefaultBundleHolder.kt
@@ -16,8 +16,8 @@
 import org.hyssoprack.common.HostId
 import org.hyssoprack.common.HostRef
 import org.hyssoprack.common.eq
-import org.hyssoprack.platform.ObjectStore
-import org.hyssoprack.platform.TableService
+import org.hyssoprack.store.ObjectStore
+import org.hyssoprack.store.TableService
 
 /**
  * [BundleHolder] whose state belongs to one task; all else talks to it by messages.
--- a/core/settings/src/main/kotlin/org/hyssoprack/settings/DefaultBundleService.kt
+++ b/core/settings/src/main/kotlin/org/hyssoprack/settings/DefaultBundleService.kt
@@ -16,10 +16,10 @@
 import org.hyssoprack.common.OperatorName
 import org.hyssoprack.common.ResultCode
 import org.hyssoprack.common.eq
-import org.hyssoprack.platform.ObjectStore
-import org.hyssoprack.platform.Row
-import org.hyssoprack.platform.TableService
-import org.hyssoprack.platform.WriteResult
+import org.hyssoprack.store.ObjectStore
+import org.hyssoprack.store.Row
+import org.hyssoprack.store.TableService
+import org.hyssoprack.store.WriteResult
 
 /**
  * [BundleService] over the platform's table service and object store.
--- a/core/settings/src/main/kotlin/org/hyssoprack/settings/RowWriter.kt
+++ b/core/settings/src/main/kotlin/org/hyssoprack/settings/RowWriter.kt
@@ -2,10 +2,10 @@
 
 import kotlinx.coroutines.delay
 import org.hyssoprack.common.Failure
-import org.hyssoprack.platform.Row
-import org.hyssoprack.platform.RowKey
-import org.hyssoprack.platform.TableService
-import org.hyssoprack.platform.WriteResult
+import org.hyssoprack.store.Row
+import org.hyssoprack.store.RowKey
+import org.hyssoprack.store.TableService
+import org.hyssoprack.store.WriteResult
 
 /**
  * Writes rows and settles lost replies.
--- a/core/settings/src/test/kotlin/org/hyssoprack/settings/BundleHolderTest.kt
+++ b/core/settings/src/test/kotlin/org/hyssoprack/settings/BundleHolderTest.kt
@@ -22,7 +22,7 @@
 import org.hyssoprack.common.ManualClock
 import org.hyssoprack.common.OperatorName
 import org.hyssoprack.common.SilentEventLog
-import org.hyssoprack.platform.Row
+import org.hyssoprack.store.Row
 
 class BundleHolderTest {
     private val clock = ManualClock(ms = 1_000)
--- a/core/settings/src/test/kotlin/org/hyssoprack/settings/FakeObjects.kt
+++ b/core/settings/src/test/kotlin/org/hyssoprack/settings/FakeObjects.kt
@@ -6,7 +6,7 @@
 import org.hyssoprack.common.ContentHash
 import org.hyssoprack.common.Failure
 import org.hyssoprack.common.ResultCode
-import org.hyssoprack.platform.ObjectStore
+import org.hyssoprack.store.ObjectStore
 
 /** Object store in memory. */
 internal class FakeObjects : ObjectStore {
--- a/core/settings/src/test/kotlin/org/hyssoprack/settings/FakeTable.kt
+++ b/core/settings/src/test/kotlin/org/hyssoprack/settings/FakeTable.kt
@@ -7,10 +7,10 @@
 import kotlinx.coroutines.yield
 import org.hyssoprack.common.Failure
 import org.hyssoprack.common.ResultCode
-import org.hyssoprack.platform.Row
-import org.hyssoprack.platform.RowKey
-import org.hyssoprack.platform.TableService
-import org.hyssoprack.platform.WriteResult
+import org.hyssoprack.store.Row
+import org.hyssoprack.store.RowKey
+import org.hyssoprack.store.TableService
+import org.hyssoprack.store.WriteResult
 
 /** Table service in memory that loses, refuses and delays calls at random, [faultPercent] of them. */
 internal class FakeTable(private val random: Random = Random(1), var faultPercent: Int = 0) :
--- a/daemon/src/main/kotlin/org/hyssoprack/daemon/OrderEndpoint.kt
+++ b/daemon/src/main/kotlin/org/hyssoprack/daemon/OrderEndpoint.kt
@@ -11,7 +11,7 @@
 import org.hyssoprack.common.ResultCode
 import org.hyssoprack.orders.DesiredState
 import org.hyssoprack.orders.OrderService
-import org.hyssoprack.platform.BackendServer
+import org.hyssoprack.store.BackendServer
 
 /** Takes operators' orders to backend servers. */
 internal class OrderEndpoint(
--- a/daemon/src/main/kotlin/org/hyssoprack/daemon/PlatformClients.kt
+++ b/daemon/src/main/kotlin/org/hyssoprack/daemon/PlatformClients.kt
@@ -1,14 +1,14 @@
 package org.hyssoprack.daemon
 
-import org.hyssoprack.platform.HostList
-import org.hyssoprack.platform.ObjectStore
-import org.hyssoprack.platform.TableService
-import org.hyssoprack.platform.WeightStore
-import org.hyssoprack.platform.http.HttpHostList
-import org.hyssoprack.platform.http.HttpObjectStore
-import org.hyssoprack.platform.http.HttpTableService
-import org.hyssoprack.platform.http.HttpWeightStore
-import org.hyssoprack.platform.http.StoreConnection
+import org.hyssoprack.store.HostList
+import org.hyssoprack.store.ObjectStore
+import org.hyssoprack.store.TableService
+import org.hyssoprack.store.WeightStore
+import org.hyssoprack.store.http.HttpHostList
+import org.hyssoprack.store.http.HttpObjectStore
+import org.hyssoprack.store.http.HttpTableService
+import org.hyssoprack.store.http.HttpWeightStore
+import org.hyssoprack.store.http.StoreConnection
 
 /** Clients of the platform's services, as the settings name them. */
 internal class PlatformClients(settings: DaemonSettings) {
--- a/examples/embedding/src/main/kotlin/org/hyssoprack/examples/embedding/MemoryObjects.kt
+++ b/examples/embedding/src/main/kotlin/org/hyssoprack/examples/embedding/MemoryObjects.kt
@@ -6,7 +6,7 @@
 import java.util.concurrent.ConcurrentHashMap
 import org.hyssoprack.common.ContentHash
 import org.hyssoprack.common.Failure
-import org.hyssoprack.platform.ObjectStore
+import org.hyssoprack.store.ObjectStore
 
 /** Object store in memory, in place of the platform's. */
 class MemoryObjects : ObjectStore {
--- a/examples/embedding/src/main/kotlin/org/hyssoprack/examples/embedding/MemoryTable.kt
+++ b/examples/embedding/src/main/kotlin/org/hyssoprack/examples/embedding/MemoryTable.kt
@@ -3,10 +3,10 @@
 import arrow.core.Either
 import arrow.core.right
 import org.hyssoprack.common.Failure
-import org.hyssoprack.platform.Row
-import org.hyssoprack.platform.RowKey
-import org.hyssoprack.platform.TableService
-import org.hyssoprack.platform.WriteResult
+import org.hyssoprack.store.Row
+import org.hyssoprack.store.RowKey
+import org.hyssoprack.store.TableService
+import org.hyssoprack.store.WriteResult
 
 /** Table service in memory, in place of the platform's. */
 class MemoryTable : TableService {
--- /dev/null
+++ b/gateway/api/src/main/kotlin/org/hyssoprack/gateway/AnswerFacts.kt
@@ -0,0 +1,18 @@
+package org.hyssoprack.gateway
+
+/**
+ * What the headers of a backend server's answer say.
+ *
+ * @property requestId the request that it answers; null if it does not say.
+ * @property isSealed whether it bears the server's mark of a genuine answer.
+ * @property isNotRun whether the server states that it did not run the request.
+ * @property isOtherServer whether another server has the address.
+ * @property idleTimeoutMs how long the server keeps an idle connection; null if it does not say.
+ */
+data class AnswerFacts(
+    val requestId: String?,
+    val isSealed: Boolean,
+    val isNotRun: Boolean,
+    val isOtherServer: Boolean,
+    val idleTimeoutMs: Long? = null
+)
--- /dev/null
+++ b/gateway/api/src/main/kotlin/org/hyssoprack/gateway/CallerRequest.kt
@@ -0,0 +1,19 @@
+package org.hyssoprack.gateway
+
+import io.netty.handler.codec.http.HttpHeaders
+import io.netty.handler.codec.http.HttpMethod
+import org.hyssoprack.serving.settings.Moment
+
+/**
+ * One whole HTTP request of a caller.
+ *
+ * @property uri path and query as sent.
+ * @property arrived when its last byte was read.
+ */
+class CallerRequest(
+    val method: HttpMethod,
+    val uri: String,
+    val headers: HttpHeaders,
+    val body: ByteArray,
+    val arrived: Moment
+)
--- /dev/null
+++ b/gateway/api/src/main/kotlin/org/hyssoprack/gateway/ServerConnections.kt
@@ -0,0 +1,17 @@
+package org.hyssoprack.gateway
+
+import arrow.core.Either
+import org.hyssoprack.common.Failure
+import org.hyssoprack.common.NetworkAddress
+
+/** Opens connections to servers and keeps idle ones. */
+interface ServerConnections {
+    /** An idle connection to [address], or a new one. Fails with BACKEND_REFUSED: nothing sent. */
+    suspend fun open(
+        address: NetworkAddress,
+        connectTimeoutMs: Int
+    ): Either<Failure, ServerConnection>
+
+    /** Closes the idle connections to [address]. */
+    fun forget(address: NetworkAddress)
+}
--- /dev/null
+++ b/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/AdmittedCall.kt
@@ -0,0 +1,29 @@
+package org.hyssoprack.gateway.forwarding
+
+import org.hyssoprack.common.BundleVersion
+import org.hyssoprack.common.ServiceId
+import org.hyssoprack.gateway.RequestFacts
+import org.hyssoprack.serving.placement.Work
+import org.hyssoprack.serving.settings.Account
+import org.hyssoprack.serving.settings.Route
+
+/**
+ * A request that the settings allow.
+ *
+ * @property quota what it takes of the account's quota.
+ * @property endMs monotonic time by which it must have its final answer.
+ */
+class AdmittedCall(
+    val facts: RequestFacts,
+    val route: Route,
+    val account: Account?,
+    val service: ServiceId,
+    val version: BundleVersion,
+    val work: Work,
+    val quota: Double,
+    val arrivedMs: Long,
+    val endMs: Long
+) {
+    /** Tenants' ranks go before routes' ranks. */
+    val rank: Int get() = account?.rank ?: route.rank
+}
--- /dev/null
+++ b/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/AttemptEnd.kt
@@ -0,0 +1,22 @@
+package org.hyssoprack.gateway.forwarding
+
+import io.netty.handler.codec.http.HttpHeaders
+
+/** How one send of a request to a backend server ended. */
+internal sealed interface AttemptEnd {
+    /** The caller has the whole answer. */
+    data class Delivered(val status: Int) : AttemptEnd
+
+    /**
+     * The server did not run the request.
+     *
+     * @property arrived whether the server saw it.
+     */
+    data class NotRun(val reason: String, val arrived: Boolean) : AttemptEnd
+
+    /** The server ran the request and gave a whole answer. */
+    class Answered(val status: Int, val headers: HttpHeaders, val body: ByteArray) : AttemptEnd
+
+    /** The request may have run, and its answer is not whole. */
+    data class Broken(val reason: String) : AttemptEnd
+}
--- /dev/null
+++ b/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/CallEnd.kt
@@ -0,0 +1,15 @@
+package org.hyssoprack.gateway.forwarding
+
+import org.hyssoprack.common.Failure
+
+/** How a request ended for its caller. */
+internal sealed interface CallEnd {
+    /** The answer has been relayed. */
+    data class Delivered(val status: Int) : CallEnd
+
+    /** A backend server's answer that is to be passed on as a whole. */
+    class Answered(val answer: AttemptEnd.Answered) : CallEnd
+
+    /** The system's own answer. */
+    data class Failed(val failure: Failure) : CallEnd
+}
--- /dev/null
+++ b/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/CallProgress.kt
@@ -0,0 +1,24 @@
+package org.hyssoprack.gateway.forwarding
+
+import org.hyssoprack.common.BackendServerId
+
+/** What has happened to one request so far. */
+internal class CallProgress {
+    /** Servers that were tried, in their order. */
+    val tried = LinkedHashSet<BackendServerId>()
+
+    /** Sends that reached a server. */
+    var arrivals = 0
+
+    /** Sends after which the request may have run. */
+    var runs = 0
+
+    /** The last whole answer of a server, which was not passed on in the hope of a better one. */
+    var heldAnswer: AttemptEnd.Answered? = null
+
+    /** Monotonic time of the first grant of a slot; null while it waits. */
+    var grantedMs: Long? = null
+
+    /** Monotonic time of the first byte of the answer's body. */
+    var firstByteMs: Long? = null
+}
--- /dev/null
+++ b/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/RequestAdmission.kt
@@ -0,0 +1,109 @@
+package org.hyssoprack.gateway.forwarding
+
+import arrow.core.Either
+import arrow.core.raise.Raise
+import arrow.core.raise.either
+import arrow.core.raise.ensure
+import arrow.core.raise.ensureNotNull
+import org.hyssoprack.common.Failure
+import org.hyssoprack.common.ResultCode
+import org.hyssoprack.gateway.CallerRequest
+import org.hyssoprack.gateway.RequestFacts
+import org.hyssoprack.serving.limits.QuotaLedger
+import org.hyssoprack.serving.placement.Work
+import org.hyssoprack.serving.settings.Account
+import org.hyssoprack.serving.settings.QuotaUnit
+import org.hyssoprack.serving.settings.Route
+import org.hyssoprack.serving.settings.ServingSettings
+import org.hyssoprack.serving.settings.SettingsBook
+
+/** Decides by the settings in force whether a request may run, and where. */
+class RequestAdmission(private val settings: SettingsBook, private val quotas: QuotaLedger) {
+    /** Admits a request and takes its quota. Fails with the reason for refusing it. */
+    fun admit(request: CallerRequest, facts: RequestFacts): Either<Failure, AdmittedCall> = either {
+        val call = resolve(request, facts)
+        val account = call.account
+        if (account != null) takeQuota(account, call.quota)
+        call
+    }
+
+    /** Checks once more right before dispatch; settings may have changed while it waited. */
+    fun recheck(request: CallerRequest, call: AdmittedCall): Either<Failure, AdmittedCall> =
+        either {
+            val current = settings.current
+            val isUnchanged = current?.version == call.version
+            if (isUnchanged && (call.account == null || settings.isFresh())) {
+                call
+            } else {
+                resolve(request, call.facts)
+            }
+        }
+
+    /** Gives the quota of a request back that did not run. */
+    fun refund(call: AdmittedCall) {
+        call.account?.let { quotas.refund(it, call.quota) }
+    }
+
+    private fun Raise<Failure>.resolve(request: CallerRequest, facts: RequestFacts): AdmittedCall {
+        val current = ensureNotNull(settings.current) {
+            Failure(ResultCode.NO_SETTINGS, "No settings are in force yet.", RETRY_MS)
+        }
+        val route = current.routeFor(facts.host, request.uri)
+        if (route == null) {
+            ensureFresh()
+            raise(Failure(ResultCode.ROUTE_UNKNOWN, "No route matches."))
+        }
+        val account = accountFor(current, route, facts)
+        val work = facts.work ?: Work()
+        val limitMs = minOf(facts.deadlineMs ?: route.timeoutMs, route.timeoutMs)
+        return AdmittedCall(
+            facts = facts,
+            route = route,
+            account = account,
+            service = route.serviceFor(facts.id.hashCode()),
+            version = current.version,
+            work = work,
+            quota = account?.let { quotaOf(it, facts) } ?: 0.0,
+            arrivedMs = request.arrived.monotonicMs,
+            endMs = request.arrived.monotonicMs + limitMs
+        )
+    }
+
+    private fun Raise<Failure>.accountFor(
+        current: ServingSettings,
+        route: Route,
+        facts: RequestFacts
+    ): Account? {
+        if (!current.keysInUse || !route.needsKey) return null
+        ensureFresh()
+        val key = ensureNotNull(facts.key) { Failure(ResultCode.KEY_MISSING, "No key was sent.") }
+        return ensureNotNull(current.accountOf(key)) {
+            Failure(ResultCode.KEY_UNKNOWN, "The key belongs to no account.")
+        }
+    }
+
+    // Neither a key nor a missing route can be judged by settings that may be outdated.
+    private fun Raise<Failure>.ensureFresh() {
+        ensure(settings.isFresh()) {
+            val age = settings.ageMs()
+            Failure(ResultCode.HOST_ISOLATED, "Settings were confirmed $age ms ago.", RETRY_MS)
+        }
+    }
+
+    private fun Raise<Failure>.takeQuota(account: Account, amount: Double) {
+        ensure(quotas.admit(account, amount)) {
+            val waitMs = quotas.waitMs(account, amount) + RETRY_MS
+            Failure(ResultCode.QUOTA_EXCEEDED, "The quota of ${account.name} is used up.", waitMs)
+        }
+    }
+
+    private fun quotaOf(account: Account, facts: RequestFacts): Double = when (account.unit) {
+        QuotaUnit.REQUESTS -> 1.0
+        QuotaUnit.TOKENS -> (facts.quotaTokens?.toLong() ?: account.plainTokens).toDouble()
+    }
+
+    private companion object {
+        // Settings are read about once a second, so they are fresh again after part of that.
+        const val RETRY_MS = 300L
+    }
+}
--- /dev/null
+++ b/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/RequestForwarder.kt
@@ -0,0 +1,251 @@
+package org.hyssoprack.gateway.forwarding
+
+import arrow.core.getOrElse
+import kotlinx.coroutines.CancellationException
+import kotlinx.coroutines.withTimeoutOrNull
+import org.hyssoprack.common.Clock
+import org.hyssoprack.common.ErrorBody
+import org.hyssoprack.common.Failure
+import org.hyssoprack.common.Outcome
+import org.hyssoprack.common.ResultCode
+import org.hyssoprack.gateway.AnswerWriter
+import org.hyssoprack.gateway.CallerRequest
+import org.hyssoprack.gateway.RequestHandler
+import org.hyssoprack.gateway.ServerConnections
+import org.hyssoprack.gateway.WireFormat
+import org.hyssoprack.serving.limits.RepeatBudget
+import org.hyssoprack.serving.placement.ServerState
+import org.hyssoprack.serving.queue.QueuedRequest
+
+/** Takes callers' requests in, sends them to backend servers and relays the answers. */
+class RequestForwarder(
+    private val wire: WireFormat,
+    private val connections: ServerConnections,
+    private val admission: RequestAdmission,
+    private val pools: ServerPools,
+    private val repeats: RepeatBudget,
+    private val journal: RequestJournal,
+    private val clock: Clock,
+    private val isRefusing: () -> Boolean = { false }
+) : RequestHandler {
+    /** Requests that are in progress. */
+    var inProgress = 0
+        private set
+
+    override suspend fun handle(request: CallerRequest, answer: AnswerWriter) {
+        inProgress++
+        try {
+            take(request, answer)
+        } finally {
+            inProgress--
+        }
+    }
+
+    private suspend fun take(request: CallerRequest, answer: AnswerWriter) {
+        val facts = wire.readRequest(request.headers).getOrElse { return refuse(answer, it, null) }
+        if (isRefusing()) return refuse(answer, stopping(), facts.id)
+        val call = admission.admit(request, facts).getOrElse {
+            journal.refused(facts, it)
+            return refuse(answer, it, facts.id)
+        }
+        repeats.requested(call.service)
+        serve(request, call, answer)
+    }
+
+    private suspend fun serve(request: CallerRequest, call: AdmittedCall, answer: AnswerWriter) {
+        val progress = CallProgress()
+        try {
+            val leftMs = (call.endMs - clock.nowMs()).coerceAtLeast(1)
+            val end = withTimeoutOrNull(leftMs) { tryServers(request, call, answer, progress) }
+            finish(call, answer, progress, truthful(end ?: timedOut(progress), progress))
+        } catch (e: CancellationException) {
+            if (progress.runs == 0) admission.refund(call)
+            journal.ended(call, progress, callerLeft(progress))
+            throw e
+        }
+    }
+
+    /** Returns null once the caller has its answer, or the reason why it gets none. */
+    private suspend fun tryServers(
+        request: CallerRequest,
+        admitted: AdmittedCall,
+        answer: AnswerWriter,
+        progress: CallProgress
+    ): CallEnd {
+        val relay = StreamRelay(answer, clock)
+        var call = admitted
+        while (true) {
+            val state = pools[call.service].acquire(queued(call, progress)).getOrElse {
+                return CallEnd.Failed(it)
+            }
+            val checked = admission.recheck(request, call).getOrElse {
+                release(call, state)
+                return CallEnd.Failed(it)
+            }
+            if (checked.service != call.service) {
+                release(call, state)
+                call = checked
+                continue
+            }
+            call = checked
+            if (progress.grantedMs == null) progress.grantedMs = clock.nowMs()
+            progress.tried += state.server.id
+            val end = attempt(request, call, state, progress, relay).run()
+            pools[call.service].pump()
+            return endOf(end, call, progress) ?: continue
+        }
+    }
+
+    private fun attempt(
+        request: CallerRequest,
+        call: AdmittedCall,
+        state: ServerState,
+        progress: CallProgress,
+        relay: StreamRelay
+    ) = ServerAttempt(
+        wire = wire,
+        connections = connections,
+        clock = clock,
+        request = request,
+        call = call,
+        state = state,
+        progress = progress,
+        relay = relay,
+        mayMove = { mayRunAgain(call, progress) && state.isSuspect() && takeRepeat(call) }
+    )
+
+    /** What the caller gets after [end]; null if the request goes to another server. */
+    private fun endOf(end: AttemptEnd, call: AdmittedCall, progress: CallProgress): CallEnd? =
+        when (end) {
+            is AttemptEnd.Delivered -> CallEnd.Delivered(end.status)
+            is AttemptEnd.NotRun -> afterNotRun(end, call, progress)
+            is AttemptEnd.Answered -> afterAnswer(end, call, progress)
+            is AttemptEnd.Broken -> afterBroken(end, call, progress)
+        }
+
+    private fun afterNotRun(
+        end: AttemptEnd.NotRun,
+        call: AdmittedCall,
+        progress: CallProgress
+    ): CallEnd? {
+        val isAllowed = progress.tried.size < MAX_TRIES && (!end.arrived || takeRepeat(call))
+        if (isAllowed) return null
+        if (progress.runs > 0) return CallEnd.Failed(broken(end.reason))
+        return CallEnd.Failed(Failure(ResultCode.BACKEND_REFUSED, end.reason, REFUSED_RETRY_MS))
+    }
+
+    private fun afterAnswer(
+        end: AttemptEnd.Answered,
+        call: AdmittedCall,
+        progress: CallProgress
+    ): CallEnd? {
+        val isFailure = end.status >= FIRST_FAILURE
+        progress.heldAnswer = end
+        if (isFailure && mayRunAgain(call, progress) && takeRepeat(call)) return null
+        return CallEnd.Answered(end)
+    }
+
+    private fun afterBroken(
+        end: AttemptEnd.Broken,
+        call: AdmittedCall,
+        progress: CallProgress
+    ): CallEnd? {
+        val isPaidFor = end.reason == SILENT
+        if (isPaidFor) return null
+        if (mayRunAgain(call, progress) && takeRepeat(call)) return null
+        return CallEnd.Failed(broken(end.reason))
+    }
+
+    private fun mayRunAgain(call: AdmittedCall, progress: CallProgress): Boolean =
+        call.route.kind.mayRunAgain && progress.runs < call.route.maxAttempts
+
+    private fun takeRepeat(call: AdmittedCall): Boolean = repeats.take(call.service)
+
+    /** Replaces a claim that a request did not run by what is known of an earlier run. */
+    private fun truthful(end: CallEnd, progress: CallProgress): CallEnd {
+        val code = (end as? CallEnd.Failed)?.failure?.code ?: return end
+        if (code.outcome != Outcome.NOT_RUN || progress.runs == 0) return end
+        val held = progress.heldAnswer ?: return CallEnd.Failed(broken(end.failure.detail))
+        return CallEnd.Answered(held)
+    }
+
+    private suspend fun finish(
+        call: AdmittedCall,
+        answer: AnswerWriter,
+        progress: CallProgress,
+        end: CallEnd
+    ) {
+        if (progress.runs == 0) admission.refund(call)
+        journal.ended(call, progress, end)
+        when (end) {
+            is CallEnd.Delivered -> Unit
+
+            is CallEnd.Answered ->
+                if (answer.isStarted) {
+                    answer.abort()
+                } else {
+                    answer.answer(end.answer.status, end.answer.headers, end.answer.body)
+                }
+
+            is CallEnd.Failed -> refuse(answer, end.failure, call.facts.id)
+        }
+    }
+
+    private suspend fun refuse(answer: AnswerWriter, failure: Failure, id: String?) {
+        if (answer.isStarted) return answer.abort()
+        val body = ErrorBody.of(failure).json().encodeToByteArray()
+        answer.answer(wire.statusOf(failure), wire.failureHeaders(failure, id), body)
+    }
+
+    private fun queued(call: AdmittedCall, progress: CallProgress): QueuedRequest {
+        val patienceMs = (call.endMs - call.arrivedMs) / PATIENCE_SHARE
+        return QueuedRequest(
+            service = call.service,
+            work = call.work,
+            rank = call.rank,
+            arrivedMs = call.arrivedMs,
+            targetMs = call.route.targetMs,
+            giveUpMs = clock.nowMs() + patienceMs,
+            avoid = progress.tried
+        )
+    }
+
+    private fun release(call: AdmittedCall, state: ServerState) {
+        state.ended(call.work, promptRead = false)
+        pools[call.service].pump()
+    }
+
+    private fun timedOut(progress: CallProgress): CallEnd = CallEnd.Failed(
+        if (progress.runs == 0) {
+            Failure(ResultCode.DEADLINE_PASSED_WAITING, "No slot was free in time.")
+        } else {
+            Failure(ResultCode.DEADLINE_PASSED_RUNNING, "No whole answer in time.")
+        }
+    )
+
+    private fun callerLeft(progress: CallProgress): CallEnd = CallEnd.Failed(
+        Failure(
+            code = if (progress.runs == 0) ResultCode.CALLER_LEFT else ResultCode.CALLER_LEFT_RUNNING,
+            detail = "The caller closed the connection."
+        )
+    )
+
+    private fun broken(reason: String) = Failure(ResultCode.STREAM_BROKEN, reason)
+
+    private fun stopping() =
+        Failure(ResultCode.HOST_STOPPING, "This host is stopping.", STOPPING_RETRY_MS)
+
+    private companion object {
+        const val FIRST_FAILURE = 500
+        const val SILENT = "silent"
+        const val MAX_TRIES = 3
+
+        // A request that waits for longer than this share of its time is refused, so that its
+        // caller can come back while there is time left.
+        const val PATIENCE_SHARE = 4
+        const val REFUSED_RETRY_MS = 300L
+
+        // Another host takes the request at once.
+        const val STOPPING_RETRY_MS = 20L
+    }
+}
--- /dev/null
+++ b/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/RequestJournal.kt
@@ -0,0 +1,68 @@
+package org.hyssoprack.gateway.forwarding
+
+import io.micrometer.core.instrument.MeterRegistry
+import java.time.Duration
+import org.hyssoprack.common.Clock
+import org.hyssoprack.common.EventLog
+import org.hyssoprack.common.Failure
+import org.hyssoprack.common.eq
+import org.hyssoprack.gateway.RequestFacts
+import org.hyssoprack.serving.settings.SettingsBook
+
+/** Records how requests end, in the log and in metrics. */
+class RequestJournal(
+    private val log: EventLog,
+    private val registry: MeterRegistry,
+    private val settings: SettingsBook,
+    private val clock: Clock
+) {
+    internal fun refused(facts: RequestFacts, failure: Failure) {
+        count(route = "none", code = failure.code.wireName)
+        log.event(
+            "request-refused",
+            "request" eq facts.id,
+            "code" eq failure.code.number,
+            "detail" eq failure.detail,
+            "settings" eq settings.current?.version,
+            "settingsAgeMs" eq settings.ageMs()
+        )
+    }
+
+    internal fun ended(call: AdmittedCall, progress: CallProgress, end: CallEnd) {
+        val nowMs = clock.nowMs()
+        count(route = call.route.name.value, code = codeOf(end))
+        progress.firstByteMs?.let { time("hyssoprack.first.event", call, it - call.arrivedMs) }
+        progress.grantedMs?.let { time("hyssoprack.queued", call, it - call.arrivedMs) }
+        log.event(
+            "request-ended",
+            "request" eq call.facts.id,
+            "route" eq call.route.name,
+            "account" eq call.account?.name,
+            "code" eq codeOf(end),
+            "detail" eq detailOf(end),
+            "servers" eq progress.tried.joinToString(","),
+            "arrivals" eq progress.arrivals,
+            "queuedMs" eq progress.grantedMs?.minus(call.arrivedMs),
+            "firstMs" eq progress.firstByteMs?.minus(call.arrivedMs),
+            "totalMs" eq nowMs - call.arrivedMs,
+            "settings" eq call.version,
+            "settingsAgeMs" eq settings.ageMs()
+        )
+    }
+
+    private fun codeOf(end: CallEnd): String = when (end) {
+        is CallEnd.Delivered -> "ok"
+        is CallEnd.Answered -> "server-${end.answer.status}"
+        is CallEnd.Failed -> end.failure.code.wireName
+    }
+
+    private fun detailOf(end: CallEnd): String? = (end as? CallEnd.Failed)?.failure?.detail
+
+    private fun count(route: String, code: String) {
+        registry.counter("hyssoprack.requests", "route", route, "code", code).increment()
+    }
+
+    private fun time(name: String, call: AdmittedCall, ms: Long) {
+        registry.timer(name, "route", call.route.name.value).record(Duration.ofMillis(ms))
+    }
+}
--- /dev/null
+++ b/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/ServerAttempt.kt
@@ -0,0 +1,228 @@
+package org.hyssoprack.gateway.forwarding
+
+import io.netty.handler.codec.http.HttpResponse
+import java.io.ByteArrayOutputStream
+import kotlinx.coroutines.withTimeoutOrNull
+import org.hyssoprack.common.Clock
+import org.hyssoprack.gateway.AnswerFacts
+import org.hyssoprack.gateway.AnswerPart
+import org.hyssoprack.gateway.CallerRequest
+import org.hyssoprack.gateway.DispatchFacts
+import org.hyssoprack.gateway.ServerConnection
+import org.hyssoprack.gateway.ServerConnections
+import org.hyssoprack.gateway.WireFormat
+import org.hyssoprack.serving.placement.ServerState
+
+/**
+ * One send of a request to one backend server, up to the end of its answer.
+ *
+ * @param mayMove asked when the server is silent: whether the request may go to another one.
+ */
+internal class ServerAttempt(
+    private val wire: WireFormat,
+    private val connections: ServerConnections,
+    private val clock: Clock,
+    private val request: CallerRequest,
+    private val call: AdmittedCall,
+    private val state: ServerState,
+    private val progress: CallProgress,
+    private val relay: StreamRelay,
+    private val mayMove: () -> Boolean
+) {
+    private val startMs = clock.nowMs()
+    private var promptRead = false
+
+    /** Sends the request and relays the answer; the slot of [state] is given back at the end. */
+    suspend fun run(): AttemptEnd {
+        try {
+            val end = sendAndRelay()
+            learn(end)
+            return end
+        } finally {
+            state.ended(call.work, promptRead)
+        }
+    }
+
+    private suspend fun sendAndRelay(): AttemptEnd {
+        val connection = connections.open(state.server.address, CONNECT_TIMEOUT_MS).fold(
+            { return unreachable(it.detail) },
+            { it }
+        )
+        var isDone = false
+        try {
+            send(connection)
+            val end = relayAnswer(connection)
+            isDone = end !is AttemptEnd.Broken
+            return end
+        } finally {
+            if (!isDone) connection.close()
+        }
+    }
+
+    private fun unreachable(detail: String): AttemptEnd {
+        state.unreachable()
+        connections.forget(state.server.address)
+        return AttemptEnd.NotRun(detail, arrived = false)
+    }
+
+    private fun send(connection: ServerConnection) {
+        val facts = DispatchFacts(
+            server = state.server.id,
+            account = call.account?.name,
+            remainingMs = (call.endMs - clock.nowMs()).coerceAtLeast(1),
+            lastEventId = relay.lastEventId
+        )
+        progress.arrivals++
+        progress.runs++
+        connection.send(
+            method = request.method,
+            uri = request.uri,
+            headers = wire.dispatchHeaders(request.headers, facts),
+            body = request.body
+        )
+    }
+
+    private suspend fun relayAnswer(connection: ServerConnection): AttemptEnd {
+        while (true) {
+            val part = nextPart(connection) ?: return AttemptEnd.Broken("silent")
+            val head = when (part) {
+                is AnswerPart.Head -> part.response
+                is AnswerPart.Lost -> return AttemptEnd.Broken(part.reason)
+                else -> continue
+            }
+            val facts = wire.readAnswer(head)
+            val isForeign = facts.requestId != null && facts.requestId != call.facts.id
+            if (isForeign) continue
+            return relayOwn(connection, head, facts)
+        }
+    }
+
+    private suspend fun relayOwn(
+        connection: ServerConnection,
+        head: HttpResponse,
+        facts: AnswerFacts
+    ): AttemptEnd {
+        val status = head.status().code()
+        val isSuccess = status in SUCCESSES
+        if (isSuccess && (!facts.isSealed || facts.requestId == null)) {
+            return AttemptEnd.Broken("answer without the server's mark")
+        }
+        if (isSuccess && call.route.kind.isStream) return relayStream(connection, head, facts)
+        val body = readBody(connection) ?: return AttemptEnd.Broken("answer cut off")
+        connection.release(idleMs(facts))
+        return judge(connection, head, facts, body)
+    }
+
+    private fun judge(
+        connection: ServerConnection,
+        head: HttpResponse,
+        facts: AnswerFacts,
+        body: ByteArray
+    ): AttemptEnd {
+        val status = head.status().code()
+        // Without an id the answer may belong to the exchange before this one.
+        val isCertain = facts.requestId != null || !connection.isReused
+        if ((facts.isNotRun || facts.isOtherServer) && isCertain) {
+            progress.runs--
+            if (facts.isOtherServer) state.unreachable()
+            return AttemptEnd.NotRun("refused with $status", arrived = true)
+        }
+        if (!isCertain) return AttemptEnd.Broken("answer without an id")
+        val headers = wire.answerHeaders(head.headers())
+        return AttemptEnd.Answered(status, headers, body)
+    }
+
+    private suspend fun relayStream(
+        connection: ServerConnection,
+        head: HttpResponse,
+        facts: AnswerFacts
+    ): AttemptEnd {
+        relay.begin(head.status().code(), wire.answerHeaders(head.headers()))
+        while (true) {
+            val part = nextPart(connection) ?: return AttemptEnd.Broken("silent")
+            when (part) {
+                is AnswerPart.Body -> pass(part.bytes)
+                is AnswerPart.Lost -> return AttemptEnd.Broken(part.reason)
+                is AnswerPart.Head -> return AttemptEnd.Broken("a second answer")
+                AnswerPart.End -> break
+            }
+        }
+        if (!relay.isWhole) return AttemptEnd.Broken("ended within an event")
+        connection.release(idleMs(facts))
+        relay.end()
+        return AttemptEnd.Delivered(head.status().code())
+    }
+
+    private suspend fun pass(bytes: ByteArray) {
+        if (!promptRead) firstBytes()
+        relay.pass(bytes)
+    }
+
+    private fun firstBytes() {
+        promptRead = true
+        state.promptRead(call.work)
+        val nowMs = clock.nowMs()
+        if (progress.firstByteMs == null) progress.firstByteMs = nowMs
+        val tokens = call.work.promptTokens
+        if (tokens > 0) state.prefillMs.add((nowMs - startMs).toDouble() / tokens)
+    }
+
+    private suspend fun readBody(connection: ServerConnection): ByteArray? {
+        val body = ByteArrayOutputStream()
+        while (true) {
+            when (val part = nextPart(connection)) {
+                is AnswerPart.Body -> body.write(part.bytes)
+                AnswerPart.End -> return body.toByteArray()
+                else -> return null
+            }
+        }
+    }
+
+    /** The next part, or null if the server is silent and the request moves on. */
+    private suspend fun nextPart(connection: ServerConnection): AnswerPart? {
+        while (true) {
+            val part = withTimeoutOrNull(SILENCE_MS) { connection.next() }
+            if (part != null) {
+                state.heard()
+                return part
+            }
+            if (mayMove()) return null
+        }
+    }
+
+    private fun learn(end: AttemptEnd) {
+        when (end) {
+            is AttemptEnd.Delivered -> state.succeeded()
+            is AttemptEnd.Answered -> learnAnswer(end)
+            is AttemptEnd.Broken -> state.failed()
+            is AttemptEnd.NotRun -> Unit
+        }
+        if (end is AttemptEnd.Delivered) relay.pauseMs()?.let { state.paceMs.add(it) }
+    }
+
+    private fun learnAnswer(end: AttemptEnd.Answered) {
+        if (end.status >= FIRST_FAILURE) return state.failed()
+        state.succeeded()
+        if (call.work.tokens == 0) state.paceMs.add((clock.nowMs() - startMs).toDouble())
+    }
+
+    private fun idleMs(facts: AnswerFacts): Long {
+        val toldMs = facts.idleTimeoutMs ?: return DEFAULT_IDLE_MS
+        return toldMs - IDLE_MARGIN_MS
+    }
+
+    private companion object {
+        val SUCCESSES = 200..299
+        const val FIRST_FAILURE = 500
+
+        // A new connection takes a few milliseconds; a server that is gone answers nothing.
+        const val CONNECT_TIMEOUT_MS = 400
+
+        // Twice the longest pause that counts as on time, and half of callers' patience.
+        const val SILENCE_MS = 1_000L
+
+        // A request that is sent while the server closes the connection is in doubt.
+        const val IDLE_MARGIN_MS = 800L
+        const val DEFAULT_IDLE_MS = 3_000L
+    }
+}
--- /dev/null
+++ b/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/ServerPool.kt
@@ -0,0 +1,148 @@
+package org.hyssoprack.gateway.forwarding
+
+import arrow.core.Either
+import arrow.core.left
+import arrow.core.right
+import kotlin.random.Random
+import kotlinx.coroutines.CancellationException
+import kotlinx.coroutines.CompletableDeferred
+import kotlinx.coroutines.ExperimentalCoroutinesApi
+import org.hyssoprack.common.BackendServerId
+import org.hyssoprack.common.Clock
+import org.hyssoprack.common.Failure
+import org.hyssoprack.common.ResultCode
+import org.hyssoprack.serving.fleet.RegisteredServer
+import org.hyssoprack.serving.limits.WindowCount
+import org.hyssoprack.serving.placement.PeerLoad
+import org.hyssoprack.serving.placement.ServerChooser
+import org.hyssoprack.serving.placement.ServerState
+import org.hyssoprack.serving.queue.DispatchQueue
+import org.hyssoprack.serving.queue.QueuedRequest
+import org.hyssoprack.serving.settings.ServiceSpec
+
+/** The backend servers of one service and the requests that wait for them. */
+class ServerPool(
+    private val clock: Clock,
+    private val chooser: ServerChooser,
+    private val random: Random = Random.Default
+) {
+    private val states = LinkedHashMap<BackendServerId, ServerState>()
+    private val queue = DispatchQueue()
+    private val waiting = HashMap<QueuedRequest, CompletableDeferred<Either<Failure, ServerState>>>()
+    private val granted = WindowCount(RATE_WINDOW_MS)
+
+    /** What this host knows of each server. */
+    val servers: Collection<ServerState> get() = states.values
+
+    val queueLength: Int get() = queue.size
+
+    /** Takes [registered] as the service's servers; knowledge of the same run is kept. */
+    fun update(registered: Collection<RegisteredServer>, spec: ServiceSpec?) {
+        val old = HashMap(states)
+        states.clear()
+        registered.forEach { server ->
+            val held = old[server.id]
+            states[server.id] = when {
+                held == null || !held.server.isSameRun(server) ->
+                    ServerState(server, clock, spec?.engine?.memoryTokens)
+
+                held.server == server -> held
+
+                else -> held.also { it.update(server) }
+            }
+        }
+        pump()
+    }
+
+    /** Sets what other hosts have in progress at each server. */
+    fun setPeers(loads: Map<BackendServerId, PeerLoad>) {
+        states.values.forEach { it.setPeers(loads[it.server.id] ?: PeerLoad()) }
+    }
+
+    /** Waits for a slot. Fails with a reason if there is none in time; nothing was sent then. */
+    suspend fun acquire(request: QueuedRequest): Either<Failure, ServerState> {
+        if (states.isEmpty()) {
+            return refusal(ResultCode.NO_BACKEND_SERVER, "No server is registered.").left()
+        }
+        if (queue.size == 0) grant(request)?.let { return it.right() }
+        val ahead = queue.ahead(request.rank)
+        if (isHopeless(request, ahead)) {
+            return refusal(ResultCode.QUEUE_FULL, "$ahead requests wait before it.").left()
+        }
+        queue.add(request)
+        val result = CompletableDeferred<Either<Failure, ServerState>>()
+        waiting[request] = result
+        pump()
+        return await(request, result)
+    }
+
+    /** A slot may have become free. */
+    fun pump() {
+        if (queue.size == 0) return
+        val nowMs = clock.nowMs()
+        queue.takeExpired(nowMs).forEach {
+            settle(it, refusal(ResultCode.DEADLINE_UNREACHABLE, "No slot was free in time.").left())
+        }
+        for (request in queue.ordered(nowMs)) {
+            val state = grant(request) ?: continue
+            queue.remove(request)
+            settle(request, state.right())
+        }
+    }
+
+    private suspend fun await(
+        request: QueuedRequest,
+        result: CompletableDeferred<Either<Failure, ServerState>>
+    ): Either<Failure, ServerState> = try {
+        result.await()
+    } catch (e: CancellationException) {
+        waiting.remove(request)
+        if (!queue.remove(request)) giveBack(request, result)
+        throw e
+    }
+
+    // The slot was granted in the moment in which the caller left.
+    @OptIn(ExperimentalCoroutinesApi::class)
+    private fun giveBack(
+        request: QueuedRequest,
+        result: CompletableDeferred<Either<Failure, ServerState>>
+    ) {
+        if (!result.isCompleted || result.isCancelled) return
+        result.getCompleted().onRight { it.ended(request.work, promptRead = false) }
+    }
+
+    private fun grant(request: QueuedRequest): ServerState? {
+        val others = states.values.filter { it.server.id !in request.avoid }
+        val state = chooser.choose(others.ifEmpty { states.values }, request.work) ?: return null
+        state.dispatched(request.work)
+        granted.add(clock.nowMs(), 1.0)
+        return state
+    }
+
+    private fun isHopeless(request: QueuedRequest, ahead: Int): Boolean {
+        val perMs = granted.total(clock.nowMs()) / RATE_WINDOW_MS
+        if (ahead < MIN_QUEUE || perMs <= 0) return false
+        return clock.nowMs() + ahead / perMs > request.giveUpMs
+    }
+
+    private fun refusal(code: ResultCode, detail: String): Failure {
+        val perMs = granted.total(clock.nowMs()) / RATE_WINDOW_MS
+        val clearMs = if (perMs > 0) queue.size / perMs else MIN_RETRY_MS
+        val baseMs = clearMs.coerceIn(MIN_RETRY_MS, MAX_RETRY_MS)
+        // Spread, so that those who were refused together do not come back together.
+        return Failure(code, detail, (baseMs * (1 + random.nextDouble())).toLong())
+    }
+
+    private fun settle(request: QueuedRequest, result: Either<Failure, ServerState>) {
+        waiting.remove(request)?.complete(result)
+    }
+
+    private companion object {
+        const val RATE_WINDOW_MS = 1_000L
+
+        // Shorter queues say little about the time to wait.
+        const val MIN_QUEUE = 4
+        const val MIN_RETRY_MS = 250.0
+        const val MAX_RETRY_MS = 2_000.0
+    }
+}
--- /dev/null
+++ b/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/ServerPools.kt
@@ -0,0 +1,56 @@
+package org.hyssoprack.gateway.forwarding
+
+import org.hyssoprack.common.BackendServerId
+import org.hyssoprack.common.Clock
+import org.hyssoprack.common.ServiceId
+import org.hyssoprack.serving.fleet.RegisteredServer
+import org.hyssoprack.serving.placement.PeerLoad
+import org.hyssoprack.serving.placement.ServerChooser
+import org.hyssoprack.serving.settings.ServiceSpec
+
+/** All services' [ServerPool]s. */
+class ServerPools(private val clock: Clock, private val chooser: ServerChooser) {
+    private val pools = HashMap<ServiceId, ServerPool>()
+    private var specs: Map<ServiceId, ServiceSpec> = emptyMap()
+    private var registered: Collection<RegisteredServer> = emptyList()
+
+    /** The pool of [service]; empty if no server is registered for it. */
+    operator fun get(service: ServiceId): ServerPool =
+        pools.getOrPut(service) { ServerPool(clock, chooser) }
+
+    /** Takes over the services of new settings. */
+    fun updateServices(services: Map<ServiceId, ServiceSpec>) {
+        specs = services
+        refresh()
+    }
+
+    /** Takes over the registered servers. */
+    fun updateServers(servers: Collection<RegisteredServer>) {
+        registered = servers
+        refresh()
+    }
+
+    /** Sets what other hosts have in progress at each server. */
+    fun setPeers(loads: Map<BackendServerId, PeerLoad>) {
+        pools.values.forEach { it.setPeers(loads) }
+    }
+
+    /** What this host has in progress at each server where it has any. */
+    fun ownLoads(): Map<BackendServerId, PeerLoad> = pools.values
+        .flatMap { it.servers }
+        .filter { it.ownLoad.running > 0 }
+        .associate { it.server.id to it.ownLoad }
+
+    /** Requests in all queues. */
+    fun queueLength(): Int = pools.values.sumOf { it.queueLength }
+
+    /** Grants what has become possible with time, and refuses what has waited too long. */
+    fun tick() = pools.values.forEach { it.pump() }
+
+    private fun refresh() {
+        val byService = registered.groupBy { it.service }
+        (pools.keys + byService.keys).toSet().forEach { service ->
+            this[service].update(byService[service].orEmpty(), specs[service])
+        }
+    }
+}
--- /dev/null
+++ b/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/SettingsSink.kt
@@ -0,0 +1,56 @@
+package org.hyssoprack.gateway.forwarding
+
+import arrow.core.Either
+import org.hyssoprack.common.EventLog
+import org.hyssoprack.common.Failure
+import org.hyssoprack.common.eq
+import org.hyssoprack.serving.settings.Moment
+import org.hyssoprack.serving.settings.ServingSettings
+import org.hyssoprack.serving.settings.SettingsBook
+import org.hyssoprack.store.FeedRow
+
+/**
+ * Puts accepted settings in force as they appear in the store.
+ *
+ * @param rowKey key of the row that holds the newest settings.
+ * @param decode reads the row's text.
+ */
+class SettingsSink(
+    private val book: SettingsBook,
+    private val rowKey: String,
+    private val decode: (String) -> Either<Failure, ServingSettings>,
+    private val log: EventLog,
+    private val onAccepted: (ServingSettings) -> Unit
+) : FeedSink {
+    override fun replace(rows: List<FeedRow>): Boolean = change(rows)
+
+    override fun change(rows: List<FeedRow>): Boolean {
+        val text = rows.lastOrNull { it.key == rowKey }?.value ?: return true
+        return decode(text).fold(::rejected, ::accepted)
+    }
+
+    override fun confirm(readStarted: Moment) {
+        book.confirm(readStarted)
+    }
+
+    override fun returned() = Unit
+
+    private fun rejected(failure: Failure): Boolean {
+        log.event("settings-unreadable", "detail" eq failure.detail)
+        return false
+    }
+
+    private fun accepted(settings: ServingSettings): Boolean {
+        val held = book.current?.version
+        if (!book.accept(settings)) return true
+        log.event(
+            "settings-in-force",
+            "version" eq settings.version,
+            "before" eq held,
+            "routes" eq settings.routeCount,
+            "services" eq settings.services.size
+        )
+        onAccepted(settings)
+        return true
+    }
+}
--- /dev/null
+++ b/gateway/netty/src/main/kotlin/org/hyssoprack/gateway/netty/CallerServer.kt
@@ -0,0 +1,88 @@
+package org.hyssoprack.gateway.netty
+
+import arrow.core.Either
+import io.netty.bootstrap.ServerBootstrap
+import io.netty.channel.Channel
+import io.netty.channel.ChannelInitializer
+import io.netty.channel.ChannelOption
+import io.netty.channel.WriteBufferWaterMark
+import io.netty.channel.socket.SocketChannel
+import io.netty.channel.socket.nio.NioServerSocketChannel
+import io.netty.handler.codec.http.HttpResponseEncoder
+import kotlinx.coroutines.CoroutineScope
+import org.hyssoprack.common.Clock
+import org.hyssoprack.common.Failure
+import org.hyssoprack.common.NetworkAddress
+import org.hyssoprack.common.ResultCode
+import org.hyssoprack.common.SystemClock
+import org.hyssoprack.gateway.RequestHandler
+import org.hyssoprack.serving.settings.CallerLimits
+
+/**
+ * Listens for callers on one address.
+ *
+ * @param limits read for each new connection, since settings change.
+ */
+class CallerServer(
+    private val loop: HostLoop,
+    private val scope: CoroutineScope,
+    private val handler: RequestHandler,
+    private val faults: FaultAnswers,
+    private val limits: () -> CallerLimits,
+    private val clock: Clock = SystemClock
+) {
+    private val connections = HashSet<CallerConnection>()
+    private var listener: Channel? = null
+    private var isDraining = false
+
+    /** Starts to listen. Fails with HOST_UNREACHABLE if the address cannot be listened on. */
+    suspend fun listen(address: NetworkAddress): Either<Failure, Unit> = Either.catch {
+        val bootstrap = ServerBootstrap()
+            .group(loop.eventLoop, loop.eventLoop)
+            .channel(NioServerSocketChannel::class.java)
+            .option(ChannelOption.SO_BACKLOG, BACKLOG)
+            .option(ChannelOption.SO_REUSEADDR, true)
+            .childOption(ChannelOption.TCP_NODELAY, true)
+            .childOption(ChannelOption.WRITE_BUFFER_WATER_MARK, WATER_MARK)
+            .childHandler(initializer())
+        listener = bootstrap.bind(address.ip, address.port).awaitChannel()
+    }.mapLeft { Failure(ResultCode.HOST_UNREACHABLE, "$address: ${it.message}") }
+
+    /** From now on, each connection is closed after its next answer. */
+    fun drain() {
+        isDraining = true
+    }
+
+    /** Closes connections that have no request in progress. */
+    fun closeIdle() {
+        connections.filter { it.isIdle }.forEach { it.close() }
+    }
+
+    private fun initializer() = object : ChannelInitializer<SocketChannel>() {
+        override fun initChannel(channel: SocketChannel) {
+            val bounds = limits()
+            val connection = CallerConnection(
+                scope = scope,
+                handler = handler,
+                faults = faults,
+                limits = bounds,
+                isDraining = { isDraining },
+                onClosed = { connections.remove(it) },
+                clock = clock
+            )
+            connections.add(connection)
+            channel.pipeline().addLast(
+                ByteWatch(connection),
+                StrictRequestDecoder(bounds.maxHeaderBytes),
+                HttpResponseEncoder(),
+                connection
+            )
+        }
+    }
+
+    private companion object {
+        // Holds the connections that callers open while the loop's thread does not run.
+        const val BACKLOG = 1_024
+        val WATER_MARK = WriteBufferWaterMark(32_768, 131_072)
+    }
+}
--- /dev/null
+++ b/gateway/netty/src/main/kotlin/org/hyssoprack/gateway/netty/ChannelAnswerWriter.kt
@@ -0,0 +1,91 @@
+package org.hyssoprack.gateway.netty
+
+import io.netty.buffer.Unpooled
+import io.netty.channel.Channel
+import io.netty.channel.ChannelFutureListener
+import io.netty.handler.codec.http.DefaultFullHttpResponse
+import io.netty.handler.codec.http.DefaultHttpContent
+import io.netty.handler.codec.http.DefaultHttpResponse
+import io.netty.handler.codec.http.HttpHeaderNames
+import io.netty.handler.codec.http.HttpHeaderValues
+import io.netty.handler.codec.http.HttpHeaders
+import io.netty.handler.codec.http.HttpResponse
+import io.netty.handler.codec.http.HttpResponseStatus
+import io.netty.handler.codec.http.HttpVersion
+import io.netty.handler.codec.http.LastHttpContent
+import kotlinx.coroutines.CompletableDeferred
+import org.hyssoprack.gateway.AnswerWriter
+
+/** Writes an answer to a caller's connection. */
+internal class ChannelAnswerWriter(
+    private val channel: Channel,
+    private val closes: () -> Boolean
+) : AnswerWriter {
+    private var room: CompletableDeferred<Unit>? = null
+
+    override var isStarted = false
+        private set
+
+    var isComplete = false
+        private set
+
+    /** Whether the connection is closed after this answer. */
+    var isLast = false
+        private set
+
+    override suspend fun answer(status: Int, headers: HttpHeaders, body: ByteArray) {
+        val response = DefaultFullHttpResponse(
+            HttpVersion.HTTP_1_1,
+            HttpResponseStatus.valueOf(status),
+            Unpooled.wrappedBuffer(body)
+        )
+        response.headers().set(headers)
+        response.headers().remove(HttpHeaderNames.TRANSFER_ENCODING)
+        response.headers().set(HttpHeaderNames.CONTENT_LENGTH, body.size)
+        begin(response)
+        complete(response)
+    }
+
+    override suspend fun start(status: Int, headers: HttpHeaders) {
+        val response =
+            DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(status))
+        response.headers().set(headers)
+        response.headers().remove(HttpHeaderNames.CONTENT_LENGTH)
+        response.headers().set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED)
+        begin(response)
+        channel.writeAndFlush(response)
+    }
+
+    override suspend fun send(bytes: ByteArray) {
+        channel.writeAndFlush(DefaultHttpContent(Unpooled.wrappedBuffer(bytes)))
+        if (channel.isWritable) return
+        val waiting = CompletableDeferred<Unit>()
+        room = waiting
+        waiting.await()
+    }
+
+    override suspend fun end() = complete(LastHttpContent.EMPTY_LAST_CONTENT)
+
+    override fun abort() {
+        channel.close()
+    }
+
+    /** The caller reads again. */
+    fun writable() {
+        room?.complete(Unit)
+        room = null
+    }
+
+    private fun begin(response: HttpResponse) {
+        isStarted = true
+        isLast = closes()
+        if (!isLast) return
+        response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE)
+    }
+
+    private fun complete(message: Any) {
+        isComplete = true
+        val written = channel.writeAndFlush(message)
+        if (isLast) written.addListener(ChannelFutureListener.CLOSE)
+    }
+}
--- /dev/null
+++ b/gateway/netty/src/main/kotlin/org/hyssoprack/gateway/netty/NettyServerConnections.kt
@@ -0,0 +1,100 @@
+package org.hyssoprack.gateway.netty
+
+import arrow.core.Either
+import arrow.core.right
+import io.netty.bootstrap.Bootstrap
+import io.netty.channel.ChannelInitializer
+import io.netty.channel.ChannelOption
+import io.netty.channel.socket.SocketChannel
+import io.netty.channel.socket.nio.NioSocketChannel
+import io.netty.handler.codec.http.HttpDecoderConfig
+import io.netty.handler.codec.http.HttpRequestEncoder
+import io.netty.handler.codec.http.HttpResponseDecoder
+import org.hyssoprack.common.Clock
+import org.hyssoprack.common.Failure
+import org.hyssoprack.common.NetworkAddress
+import org.hyssoprack.common.ResultCode
+import org.hyssoprack.common.SystemClock
+import org.hyssoprack.gateway.ServerConnection
+import org.hyssoprack.gateway.ServerConnections
+
+/** Keeps idle connections by address; the one used last is used first. */
+class NettyServerConnections(
+    private val loop: HostLoop,
+    private val clock: Clock = SystemClock
+) : ServerConnections {
+    private val idle = HashMap<NetworkAddress, ArrayDeque<IdleConnection>>()
+
+    private class IdleConnection(val connection: NettyServerConnection, val untilMs: Long)
+
+    override suspend fun open(
+        address: NetworkAddress,
+        connectTimeoutMs: Int
+    ): Either<Failure, ServerConnection> {
+        val kept = takeIdle(address)
+        return kept?.right() ?: connect(address, connectTimeoutMs)
+    }
+
+    override fun forget(address: NetworkAddress) {
+        idle.remove(address)?.forEach { it.connection.close() }
+    }
+
+    /** Closes connections that have been idle for too long. */
+    fun closeExpired() {
+        val nowMs = clock.nowMs()
+        idle.values.forEach { list ->
+            list.filter { it.untilMs <= nowMs || !it.connection.isUsable }.forEach {
+                it.connection.close()
+                list.remove(it)
+            }
+        }
+        idle.values.removeIf { it.isEmpty() }
+    }
+
+    private fun takeIdle(address: NetworkAddress): NettyServerConnection? {
+        val list = idle[address] ?: return null
+        while (true) {
+            val last = list.removeLastOrNull() ?: return null
+            if (last.connection.isUsable && clock.nowMs() < last.untilMs) return last.connection
+            last.connection.close()
+        }
+    }
+
+    private suspend fun connect(
+        address: NetworkAddress,
+        timeoutMs: Int
+    ): Either<Failure, ServerConnection> {
+        val connection = NettyServerConnection { idled, idleMs -> keep(address, idled, idleMs) }
+        return Either.catch {
+            bootstrap(connection, timeoutMs).connect(address.ip, address.port).awaitChannel()
+            connection
+        }.mapLeft { Failure(ResultCode.BACKEND_REFUSED, "$address: ${it.message}") }
+    }
+
+    private fun keep(address: NetworkAddress, connection: NettyServerConnection, idleMs: Long) {
+        val kept = IdleConnection(connection, untilMs = clock.nowMs() + idleMs)
+        idle.getOrPut(address) { ArrayDeque() }.addLast(kept)
+    }
+
+    private fun bootstrap(connection: NettyServerConnection, timeoutMs: Int) = Bootstrap()
+        .group(loop.eventLoop)
+        .channel(NioSocketChannel::class.java)
+        .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, timeoutMs)
+        .option(ChannelOption.TCP_NODELAY, true)
+        .handler(object : ChannelInitializer<SocketChannel>() {
+            override fun initChannel(channel: SocketChannel) {
+                channel.pipeline().addLast(
+                    HttpRequestEncoder(),
+                    HttpResponseDecoder(DECODER),
+                    connection
+                )
+            }
+        })
+
+    private companion object {
+        val DECODER: HttpDecoderConfig = HttpDecoderConfig()
+            .setMaxInitialLineLength(65_536)
+            .setMaxHeaderSize(65_536)
+            .setMaxChunkSize(65_536)
+    }
+}
--- /dev/null
+++ b/gateway/netty/src/main/kotlin/org/hyssoprack/gateway/netty/RequestAssembly.kt
@@ -0,0 +1,27 @@
+package org.hyssoprack.gateway.netty
+
+import io.netty.buffer.ByteBuf
+import io.netty.handler.codec.http.HttpRequest
+import java.io.ByteArrayOutputStream
+import org.hyssoprack.gateway.CallerRequest
+import org.hyssoprack.serving.settings.Moment
+
+/** Collects the body of a request up to [maxBytes]. */
+internal class RequestAssembly(private val head: HttpRequest, private val maxBytes: Int) {
+    private val body = ByteArrayOutputStream()
+
+    /** Adds a piece of the body; false if it grows over the limit. */
+    fun add(bytes: ByteBuf): Boolean {
+        if (body.size() + bytes.readableBytes() > maxBytes) return false
+        bytes.readBytes(body, bytes.readableBytes())
+        return true
+    }
+
+    fun complete(arrived: Moment) = CallerRequest(
+        method = head.method(),
+        uri = head.uri(),
+        headers = head.headers(),
+        body = body.toByteArray(),
+        arrived = arrived
+    )
+}
--- a/host/src/main/kotlin/org/hyssoprack/host/BackendWatcher.kt
+++ b/host/src/main/kotlin/org/hyssoprack/host/BackendWatcher.kt
@@ -14,8 +14,8 @@
 import org.hyssoprack.common.HostId
 import org.hyssoprack.common.HostMessage
 import org.hyssoprack.common.eq
-import org.hyssoprack.platform.BackendServer
-import org.hyssoprack.platform.BackendServerKind
+import org.hyssoprack.store.BackendServer
+import org.hyssoprack.store.BackendServerKind
 
 /**
  * Polls the backend servers that this host owns, once for the whole fleet: load reports for the
--- a/host/src/main/kotlin/org/hyssoprack/host/CompletionRun.kt
+++ b/host/src/main/kotlin/org/hyssoprack/host/CompletionRun.kt
@@ -18,7 +18,7 @@
 import org.hyssoprack.common.Failure
 import org.hyssoprack.common.ResultCode
 import org.hyssoprack.common.eq
-import org.hyssoprack.platform.BackendServer
+import org.hyssoprack.store.BackendServer
 
 /** Runs one dispatched completion on its engine, to the end of the answer or of the request. */
 internal class CompletionRun(
--- a/host/src/main/kotlin/org/hyssoprack/host/FleetBuilder.kt
+++ b/host/src/main/kotlin/org/hyssoprack/host/FleetBuilder.kt
@@ -3,8 +3,8 @@
 import org.hyssoprack.common.BackendServerId
 import org.hyssoprack.membership.MemberView
 import org.hyssoprack.membership.Ownership
-import org.hyssoprack.platform.BackendServer
-import org.hyssoprack.platform.BackendServerState
+import org.hyssoprack.store.BackendServer
+import org.hyssoprack.store.BackendServerState
 import org.hyssoprack.policy.CompiledPolicy
 import org.hyssoprack.policy.Pool
 import org.hyssoprack.scheduling.Fleet
--- a/host/src/main/kotlin/org/hyssoprack/host/FleetTask.kt
+++ b/host/src/main/kotlin/org/hyssoprack/host/FleetTask.kt
@@ -14,8 +14,8 @@
 import org.hyssoprack.common.eq
 import org.hyssoprack.membership.MemberView
 import org.hyssoprack.membership.Membership
-import org.hyssoprack.platform.BackendServer
-import org.hyssoprack.platform.HostList
+import org.hyssoprack.store.BackendServer
+import org.hyssoprack.store.HostList
 import org.hyssoprack.scheduling.Fleet
 import org.hyssoprack.settings.ActiveBundle
 import org.hyssoprack.settings.BundleHolder
--- a/host/src/main/kotlin/org/hyssoprack/host/RequestService.kt
+++ b/host/src/main/kotlin/org/hyssoprack/host/RequestService.kt
@@ -19,7 +19,7 @@
 import org.hyssoprack.common.RequestId
 import org.hyssoprack.common.ResultCode
 import org.hyssoprack.common.eq
-import org.hyssoprack.platform.BackendServer
+import org.hyssoprack.store.BackendServer
 import org.hyssoprack.scheduling.FinishReport
 
 /** Serves admitted requests from arrival to answer. Each runs in the coroutine of its caller. */
--- a/host/src/main/kotlin/org/hyssoprack/host/ServiceRun.kt
+++ b/host/src/main/kotlin/org/hyssoprack/host/ServiceRun.kt
@@ -21,7 +21,7 @@
 import org.hyssoprack.common.IdempotencyKey
 import org.hyssoprack.common.Outcome
 import org.hyssoprack.common.ResultCode
-import org.hyssoprack.platform.BackendServer
+import org.hyssoprack.store.BackendServer
 
 /** Runs one dispatched call of a plain service; claims it first if it may not be repeated. */
 internal class ServiceRun(
--- a/host/src/test/kotlin/org/hyssoprack/host/CompletionRunTest.kt
+++ b/host/src/test/kotlin/org/hyssoprack/host/CompletionRunTest.kt
@@ -24,8 +24,8 @@
 import org.hyssoprack.common.SystemClock
 import org.hyssoprack.common.TierName
 import org.hyssoprack.common.TierRank
-import org.hyssoprack.platform.BackendServer
-import org.hyssoprack.platform.BackendServerKind
+import org.hyssoprack.store.BackendServer
+import org.hyssoprack.store.BackendServerKind
 import org.hyssoprack.policy.Pool
 import org.hyssoprack.policy.Route
 import org.hyssoprack.policy.Tier
--- a/host/src/test/kotlin/org/hyssoprack/host/FakeEngine.kt
+++ b/host/src/test/kotlin/org/hyssoprack/host/FakeEngine.kt
@@ -17,7 +17,7 @@
 import org.hyssoprack.common.Failure
 import org.hyssoprack.common.RequestId
 import org.hyssoprack.common.ResultCode
-import org.hyssoprack.platform.BackendServer
+import org.hyssoprack.store.BackendServer
 
 /** Engine whose answers a test writes by hand. */
 internal class FakeEngine(private val resumes: Boolean = true) : EngineClient {
--- a/host/src/test/kotlin/org/hyssoprack/host/FleetBuilderTest.kt
+++ b/host/src/test/kotlin/org/hyssoprack/host/FleetBuilderTest.kt
@@ -14,9 +14,9 @@
 import org.hyssoprack.common.TierRank
 import org.hyssoprack.membership.MemberView
 import org.hyssoprack.membership.Ownership
-import org.hyssoprack.platform.BackendServer
-import org.hyssoprack.platform.BackendServerKind
-import org.hyssoprack.platform.BackendServerState
+import org.hyssoprack.store.BackendServer
+import org.hyssoprack.store.BackendServerKind
+import org.hyssoprack.store.BackendServerState
 import org.hyssoprack.policy.CompiledPolicy
 import org.hyssoprack.policy.Pool
 import org.hyssoprack.policy.Tier
--- a/platform/api/src/main/kotlin/org/hyssoprack/platform/BackendServer.kt
+++ b/store/api/src/main/kotlin/org/hyssoprack/store/BackendServer.kt
@@ -1,4 +1,4 @@
-package org.hyssoprack.platform
+package org.hyssoprack.store
 
 import kotlinx.serialization.Serializable
 import org.hyssoprack.common.BackendServerId
--- a/platform/api/src/main/kotlin/org/hyssoprack/platform/TableService.kt
+++ b/store/api/src/main/kotlin/org/hyssoprack/store/TableService.kt
@@ -1,4 +1,4 @@
-package org.hyssoprack.platform
+package org.hyssoprack.store
 
 import arrow.core.Either
 import org.hyssoprack.common.Failure
--- a/platform/http/src/main/kotlin/org/hyssoprack/platform/http/HttpHostList.kt
+++ b/store/http/src/main/kotlin/org/hyssoprack/store/http/HttpHostList.kt
@@ -1,11 +1,11 @@
-package org.hyssoprack.platform.http
+package org.hyssoprack.store.http
 
 import arrow.core.Either
 import arrow.core.flatMap
 import kotlinx.serialization.builtins.ListSerializer
 import org.hyssoprack.common.Failure
-import org.hyssoprack.platform.BackendServer
-import org.hyssoprack.platform.HostList
+import org.hyssoprack.store.BackendServer
+import org.hyssoprack.store.HostList
 
 /** Client of the host list. */
 class HttpHostList(private val connection: StoreConnection) : HostList {
--- a/platform/http/src/main/kotlin/org/hyssoprack/platform/http/HttpObjectStore.kt
+++ b/store/http/src/main/kotlin/org/hyssoprack/store/http/HttpObjectStore.kt
@@ -1,4 +1,4 @@
-package org.hyssoprack.platform.http
+package org.hyssoprack.store.http
 
 import arrow.core.Either
 import arrow.core.flatMap
@@ -7,7 +7,7 @@
 import org.hyssoprack.common.ContentHash
 import org.hyssoprack.common.Failure
 import org.hyssoprack.common.ResultCode
-import org.hyssoprack.platform.ObjectStore
+import org.hyssoprack.store.ObjectStore
 
 /** Client of the object store. */
 class HttpObjectStore(private val connection: StoreConnection) : ObjectStore {
--- a/platform/http/src/main/kotlin/org/hyssoprack/platform/http/HttpTableService.kt
+++ b/store/http/src/main/kotlin/org/hyssoprack/store/http/HttpTableService.kt
@@ -1,13 +1,13 @@
-package org.hyssoprack.platform.http
+package org.hyssoprack.store.http
 
 import arrow.core.Either
 import arrow.core.flatMap
 import kotlinx.serialization.encodeToString
 import org.hyssoprack.common.Failure
-import org.hyssoprack.platform.Row
-import org.hyssoprack.platform.RowKey
-import org.hyssoprack.platform.TableService
-import org.hyssoprack.platform.WriteResult
+import org.hyssoprack.store.Row
+import org.hyssoprack.store.RowKey
+import org.hyssoprack.store.TableService
+import org.hyssoprack.store.WriteResult
 
 /** Client of the table service. A write is sent once and never repeated. */
 class HttpTableService(private val connection: StoreConnection) : TableService {
--- a/platform/http/src/main/kotlin/org/hyssoprack/platform/http/HttpWeightStore.kt
+++ b/store/http/src/main/kotlin/org/hyssoprack/store/http/HttpWeightStore.kt
@@ -1,4 +1,4 @@
-package org.hyssoprack.platform.http
+package org.hyssoprack.store.http
 
 import arrow.core.Either
 import arrow.core.flatMap
@@ -6,8 +6,8 @@
 import kotlinx.serialization.builtins.ListSerializer
 import org.hyssoprack.common.Failure
 import org.hyssoprack.common.ModelId
-import org.hyssoprack.platform.ModelVersion
-import org.hyssoprack.platform.WeightStore
+import org.hyssoprack.store.ModelVersion
+import org.hyssoprack.store.WeightStore
 
 /** Client of the weight store. */
 class HttpWeightStore(private val connection: StoreConnection) : WeightStore {
--- a/platform/http/src/main/kotlin/org/hyssoprack/platform/http/PlatformPath.kt
+++ b/store/http/src/main/kotlin/org/hyssoprack/store/http/PlatformPath.kt
@@ -1,4 +1,4 @@
-package org.hyssoprack.platform.http
+package org.hyssoprack.store.http
 
 /** HTTP paths of the platform's services. */
 object PlatformPath {
--- a/platform/http/src/main/kotlin/org/hyssoprack/platform/http/PlatformSettings.kt
+++ b/store/http/src/main/kotlin/org/hyssoprack/store/http/PlatformSettings.kt
@@ -1,4 +1,4 @@
-package org.hyssoprack.platform.http
+package org.hyssoprack.store.http
 
 /** Limits of the calls to the platform, in milliseconds. */
 data class PlatformSettings(
--- a/platform/http/src/main/kotlin/org/hyssoprack/platform/http/RowReply.kt
+++ b/store/http/src/main/kotlin/org/hyssoprack/store/http/RowReply.kt
@@ -1,7 +1,7 @@
-package org.hyssoprack.platform.http
+package org.hyssoprack.store.http
 
 import kotlinx.serialization.Serializable
-import org.hyssoprack.platform.Row
+import org.hyssoprack.store.Row
 
 /** Answer of the table service about one row; null if there is none. */
 @Serializable
--- a/platform/http/src/main/kotlin/org/hyssoprack/platform/http/RowsReply.kt
+++ b/store/http/src/main/kotlin/org/hyssoprack/store/http/RowsReply.kt
@@ -1,7 +1,7 @@
-package org.hyssoprack.platform.http
+package org.hyssoprack.store.http
 
 import kotlinx.serialization.Serializable
-import org.hyssoprack.platform.Row
+import org.hyssoprack.store.Row
 
 /** Answer of the table service to a scan, in the order of the keys. */
 @Serializable
--- a/platform/http/src/main/kotlin/org/hyssoprack/platform/http/StoreConnection.kt
+++ b/store/http/src/main/kotlin/org/hyssoprack/store/http/StoreConnection.kt
@@ -1,4 +1,4 @@
-package org.hyssoprack.platform.http
+package org.hyssoprack.store.http
 
 import io.ktor.client.HttpClient
 import io.ktor.client.engine.cio.CIO
--- a/platform/http/src/main/kotlin/org/hyssoprack/platform/http/StoreReply.kt
+++ b/store/http/src/main/kotlin/org/hyssoprack/store/http/StoreReply.kt
@@ -1,4 +1,4 @@
-package org.hyssoprack.platform.http
+package org.hyssoprack.store.http
 
 import org.hyssoprack.common.Failure
 
--- a/platform/http/src/main/kotlin/org/hyssoprack/platform/http/StoreStatus.kt
+++ b/store/http/src/main/kotlin/org/hyssoprack/store/http/StoreStatus.kt
@@ -1,4 +1,4 @@
-package org.hyssoprack.platform.http
+package org.hyssoprack.store.http
 
 /** HTTP statuses by which the platform's services answer. */
 internal object StoreStatus {
--- a/platform/http/src/main/kotlin/org/hyssoprack/platform/http/TableWrite.kt
+++ b/store/http/src/main/kotlin/org/hyssoprack/store/http/TableWrite.kt
@@ -1,7 +1,7 @@
-package org.hyssoprack.platform.http
+package org.hyssoprack.store.http
 
 import kotlinx.serialization.Serializable
-import org.hyssoprack.platform.RowKey
+import org.hyssoprack.store.RowKey
 
 /**
  * Body of a conditional write to the table service.
--- a/testing/integration/src/main/kotlin/org/hyssoprack/integration/deployment/BackendsUnderTest.kt
+++ b/testing/integration/src/main/kotlin/org/hyssoprack/integration/deployment/BackendsUnderTest.kt
@@ -9,9 +9,9 @@
 import org.hyssoprack.common.NetworkAddress
 import org.hyssoprack.common.ServiceId
 import org.hyssoprack.faultproxy.ListenerSettings
-import org.hyssoprack.platform.BackendServer
-import org.hyssoprack.platform.BackendServerKind
-import org.hyssoprack.platform.BackendServerState
+import org.hyssoprack.store.BackendServer
+import org.hyssoprack.store.BackendServerKind
+import org.hyssoprack.store.BackendServerState
 import org.hyssoprack.standins.engine.EngineFaults
 import org.hyssoprack.standins.service.ServiceFaults
 
--- a/testing/integration/src/main/kotlin/org/hyssoprack/integration/deployment/PlatformUnderTest.kt
+++ b/testing/integration/src/main/kotlin/org/hyssoprack/integration/deployment/PlatformUnderTest.kt
@@ -4,7 +4,7 @@
 import kotlin.io.path.writeText
 import kotlinx.serialization.encodeToString
 import kotlinx.serialization.json.Json
-import org.hyssoprack.platform.BackendServer
+import org.hyssoprack.store.BackendServer
 import org.hyssoprack.standins.hostlist.HostListFaults
 import org.hyssoprack.standins.objects.ObjectFaults
 import org.hyssoprack.standins.table.TableFaults
--- a/testing/standins/src/main/kotlin/org/hyssoprack/standins/hostlist/HostListMain.kt
+++ b/testing/standins/src/main/kotlin/org/hyssoprack/standins/hostlist/HostListMain.kt
@@ -6,7 +6,7 @@
 import kotlinx.cli.ArgType
 import kotlinx.cli.default
 import kotlinx.cli.required
-import org.hyssoprack.platform.BackendServer
+import org.hyssoprack.store.BackendServer
 import org.hyssoprack.standins.platform.StandInJson
 import org.hyssoprack.standins.platform.serve
 
--- a/testing/standins/src/main/kotlin/org/hyssoprack/standins/hostlist/HostListRoutes.kt
+++ b/testing/standins/src/main/kotlin/org/hyssoprack/standins/hostlist/HostListRoutes.kt
@@ -6,8 +6,8 @@
 import io.ktor.server.routing.post
 import io.ktor.server.routing.put
 import kotlinx.serialization.builtins.ListSerializer
-import org.hyssoprack.platform.BackendServer
-import org.hyssoprack.platform.http.PlatformPath
+import org.hyssoprack.store.BackendServer
+import org.hyssoprack.store.http.PlatformPath
 import org.hyssoprack.standins.platform.Outage
 import org.hyssoprack.standins.platform.hang
 import org.hyssoprack.standins.platform.receiveJson
--- a/testing/standins/src/main/kotlin/org/hyssoprack/standins/hostlist/LaggingList.kt
+++ b/testing/standins/src/main/kotlin/org/hyssoprack/standins/hostlist/LaggingList.kt
@@ -2,7 +2,7 @@
 
 import org.hyssoprack.common.Clock
 import org.hyssoprack.common.SystemClock
-import org.hyssoprack.platform.BackendServer
+import org.hyssoprack.store.BackendServer
 
 /** A list of backend servers whose changes are seen only [lagMs] after they were made. */
 internal class LaggingList(
--- a/testing/standins/src/main/kotlin/org/hyssoprack/standins/objects/ObjectRoutes.kt
+++ b/testing/standins/src/main/kotlin/org/hyssoprack/standins/objects/ObjectRoutes.kt
@@ -12,7 +12,7 @@
 import java.security.MessageDigest
 import java.util.concurrent.ConcurrentHashMap
 import kotlinx.coroutines.delay
-import org.hyssoprack.platform.http.PlatformPath
+import org.hyssoprack.store.http.PlatformPath
 import org.hyssoprack.standins.platform.Outage
 import org.hyssoprack.standins.platform.hang
 import org.hyssoprack.standins.platform.receiveJson
--- a/testing/standins/src/main/kotlin/org/hyssoprack/standins/table/TableRoutes.kt
+++ b/testing/standins/src/main/kotlin/org/hyssoprack/standins/table/TableRoutes.kt
@@ -10,11 +10,11 @@
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
 import kotlinx.serialization.builtins.ListSerializer
-import org.hyssoprack.platform.http.PlatformPath
-import org.hyssoprack.platform.http.RowReply
-import org.hyssoprack.platform.http.RowsReply
-import org.hyssoprack.platform.http.ScanRequest
-import org.hyssoprack.platform.http.TableWrite
+import org.hyssoprack.store.http.PlatformPath
+import org.hyssoprack.store.http.RowReply
+import org.hyssoprack.store.http.RowsReply
+import org.hyssoprack.store.http.ScanRequest
+import org.hyssoprack.store.http.TableWrite
 import org.hyssoprack.standins.platform.Outage
 import org.hyssoprack.standins.platform.RateLimit
 import org.hyssoprack.standins.platform.hang
--- a/testing/standins/src/main/kotlin/org/hyssoprack/standins/table/TableStore.kt
+++ b/testing/standins/src/main/kotlin/org/hyssoprack/standins/table/TableStore.kt
@@ -3,9 +3,9 @@
 import java.util.TreeMap
 import org.hyssoprack.common.Clock
 import org.hyssoprack.common.SystemClock
-import org.hyssoprack.platform.Row
-import org.hyssoprack.platform.RowKey
-import org.hyssoprack.platform.http.TableWrite
+import org.hyssoprack.store.Row
+import org.hyssoprack.store.RowKey
+import org.hyssoprack.store.http.TableWrite
 
 /** The rows in memory, their revisions and the log of writes. */
 internal class TableStore(private val clock: Clock = SystemClock) {
--- a/testing/standins/src/main/kotlin/org/hyssoprack/standins/table/WriteRecord.kt
+++ b/testing/standins/src/main/kotlin/org/hyssoprack/standins/table/WriteRecord.kt
@@ -1,7 +1,7 @@
 package org.hyssoprack.standins.table
 
 import kotlinx.serialization.Serializable
-import org.hyssoprack.platform.RowKey
+import org.hyssoprack.store.RowKey
 
 /**
  * One write in the log of the table service, in the order in which writes were decided.
--- a/testing/standins/src/main/kotlin/org/hyssoprack/standins/weights/WeightRoutes.kt
+++ b/testing/standins/src/main/kotlin/org/hyssoprack/standins/weights/WeightRoutes.kt
@@ -9,8 +9,8 @@
 import java.util.concurrent.ConcurrentHashMap
 import kotlinx.serialization.builtins.ListSerializer
 import org.hyssoprack.common.ModelId
-import org.hyssoprack.platform.ModelVersion
-import org.hyssoprack.platform.http.PlatformPath
+import org.hyssoprack.store.ModelVersion
+import org.hyssoprack.store.http.PlatformPath
 import org.hyssoprack.standins.platform.Outage
 import org.hyssoprack.standins.platform.RateLimit
 import org.hyssoprack.standins.platform.hang
