--- a/core/serving/src/main/kotlin/org/hyssoprack/serving/limits/QuotaLedger.kt
+++ b/core/serving/src/main/kotlin/org/hyssoprack/serving/limits/QuotaLedger.kt
@@ -4,20 +4,22 @@
 import org.hyssoprack.common.Clock
 import org.hyssoprack.common.HostRef
 import org.hyssoprack.serving.settings.Account
+import org.hyssoprack.serving.settings.QuotaUnit
 
 /**
  * Keeps accounts within their quotas over all hosts without a coordinator. In any window an account
  * may use its rate times the window, and its burst. Each host counts what it admits itself and what
  * the others say that they have admitted; the share of hosts that are not heard is set aside.
  *
- * @param windowMs window over which quotas hold.
+ * @param tolerance what may be used beyond a quota before it counts as broken.
  * @param heardShare share of the known hosts, this one included, that are heard, from 0 to 1.
  */
 class QuotaLedger(
     private val clock: Clock,
-    private val windowMs: Long,
+    private val tolerance: QuotaTolerance,
     private val heardShare: () -> Double
 ) {
+    private val windowMs = tolerance.windowMs
     private val startedMs = clock.nowMs()
     private val used = HashMap<ClientAccount, WindowCount>()
     private val admitted = HashMap<ClientAccount, Double>()
@@ -45,6 +47,12 @@
         return (missing / account.ratePerS * MS_PER_S).toLong().coerceIn(0, windowMs)
     }
 
+    /** How the quota of [account] stands, for logs. */
+    fun describe(account: Account): String {
+        val used = usedBefore(account).toLong()
+        return "$used of ${limit(account).toLong()} used, share of hosts heard ${heardShare()}"
+    }
+
     /** Takes in what [peer] has admitted since its start. */
     fun learn(peer: HostRef, totals: Map<ClientAccount, Double>) {
         val before = seen.put(peer, totals)
@@ -53,8 +61,12 @@
         totals.forEach { (name, total) -> count(name).add(clock.nowMs(), total - (before[name] ?: 0.0)) }
     }
 
-    private fun limit(account: Account): Double =
-        (account.ratePerS * windowMs / MS_PER_S + account.burst) * heardShare()
+    private fun limit(account: Account): Double {
+        val quota = account.ratePerS * windowMs / MS_PER_S + account.burst
+        val slack = if (account.unit == QuotaUnit.TOKENS) tolerance.slackTokens else 0.0
+        val beyond = quota * tolerance.overage + slack
+        return (quota + beyond * USED_TOLERANCE) * heardShare()
+    }
 
     /** Use in the window; what was used before this host's start counts as the whole rate. */
     private fun usedBefore(account: Account): Double {
@@ -73,5 +85,8 @@
 
     private companion object {
         const val MS_PER_S = 1_000.0
+
+        // The rest covers what the other hosts admit until they are heard of.
+        const val USED_TOLERANCE = 0.4
     }
 }
--- a/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/RequestAdmission.kt
+++ b/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/RequestAdmission.kt
@@ -93,7 +93,8 @@
     private fun Raise<Failure>.takeQuota(account: Account, amount: Double) {
         ensure(quotas.admit(account, amount)) {
             val waitMs = quotas.waitMs(account, amount) + RETRY_MS
-            Failure(ResultCode.QUOTA_EXCEEDED, "The quota of ${account.name} is used up.", waitMs)
+            val detail = "${account.name} asks for ${amount.toLong()}, ${quotas.describe(account)}"
+            Failure(ResultCode.QUOTA_EXCEEDED, detail, waitMs)
         }
     }
 
