--- a/core/serving/src/main/kotlin/org/hyssoprack/serving/limits/QuotaLedger.kt
+++ b/core/serving/src/main/kotlin/org/hyssoprack/serving/limits/QuotaLedger.kt
@@ -11,7 +11,9 @@
  * may use its rate times the window, and its burst. Each host counts what it admits itself and what
  * the others say that they have admitted; the share of hosts that are not heard is set aside.
  *
- * @param tolerance what may be used beyond a quota before it counts as broken.
+ * A host that starts knows nothing of the window before it. It takes that from [restore], and adds
+ * what may have been used without having been recorded.
+ *
  * @param heardShare share of the known hosts, this one included, that are heard, from 0 to 1.
  */
 class QuotaLedger(
@@ -22,11 +24,26 @@
     private val windowMs = tolerance.windowMs
     private val startedMs = clock.nowMs()
     private val used = HashMap<ClientAccount, WindowCount>()
+    private val recorded = HashSet<ClientAccount>()
     private val admitted = HashMap<ClientAccount, Double>()
+    private val told = HashMap<ClientAccount, Double>()
     private val seen = HashMap<HostRef, Map<ClientAccount, Double>>()
 
+    /** Whether the use before this host's start has been read. */
+    var isRestored = false
+        private set
+
     /** What this host has admitted since its start, for the other hosts. */
-    fun totals(): Map<ClientAccount, Double> = admitted
+    fun totals(): Map<ClientAccount, Double> {
+        told.putAll(admitted)
+        return admitted.toMap()
+    }
+
+    /** Whether so much was admitted since [totals] that the others should know at once. */
+    fun hasNews(accounts: Collection<Account>): Boolean = accounts.any {
+        val newly = (admitted[it.name] ?: 0.0) - (told[it.name] ?: 0.0)
+        newly > quota(it) * NEWS_SHARE
+    }
 
     /** Takes [amount] of the quota of [account]; false if it is used up. */
     fun admit(account: Account, amount: Double): Boolean {
@@ -58,21 +75,47 @@
         val before = seen.put(peer, totals)
         // Totals of a host heard for the first time reach back to before this ledger's window.
         if (before == null) return
-        totals.forEach { (name, total) -> count(name).add(clock.nowMs(), total - (before[name] ?: 0.0)) }
+        totals.forEach { (name, total) ->
+            count(name).add(clock.nowMs(), total - (before[name] ?: 0.0))
+        }
     }
 
+    /** Use of [account] in the window, for the lasting record. */
+    fun use(account: ClientAccount): List<UseSlice> = count(account).slices(clock.nowMs())
+
+    /** Share of the quota of [account] that is used in the window. */
+    fun usedShare(account: Account): Double =
+        if (account.ratePerS <= 0) 0.0 else count(account.name).total(clock.nowMs()) / quota(account)
+
+    /** Takes over what hosts had recorded before this one started. */
+    fun restore(use: Map<ClientAccount, List<UseSlice>>) {
+        isRestored = true
+        use.forEach { (name, slices) ->
+            recorded += name
+            val later = count(name).slices(clock.nowMs())
+            val merged = WindowCount(windowMs)
+            (slices + later).sortedBy { it.startMs }.forEach { merged.add(it.startMs, it.amount) }
+            used[name] = merged
+        }
+    }
+
+    private fun quota(account: Account): Double =
+        account.ratePerS * windowMs / MS_PER_S + account.burst
+
     private fun limit(account: Account): Double {
-        val quota = account.ratePerS * windowMs / MS_PER_S + account.burst
+        val quota = quota(account)
         val slack = if (account.unit == QuotaUnit.TOKENS) tolerance.slackTokens else 0.0
         val beyond = quota * tolerance.overage + slack
         return (quota + beyond * USED_TOLERANCE) * heardShare()
     }
 
-    /** Use in the window; what was used before this host's start counts as the whole rate. */
+    /** Use in the window, with what may have been used before this host's start unrecorded. */
     private fun usedBefore(account: Account): Double {
         val nowMs = clock.nowMs()
-        val unknownMs = (windowMs - (nowMs - startedMs)).coerceAtLeast(0)
-        return count(account.name).total(nowMs) + account.ratePerS * unknownMs / MS_PER_S
+        val known = count(account.name).total(nowMs)
+        if (nowMs - startedMs >= windowMs) return known
+        val share = if (account.name in recorded) RECORD_STEP else RECORD_FLOOR + RECORD_STEP
+        return known + quota(account) * share
     }
 
     private fun record(account: Account, amount: Double) {
@@ -83,10 +126,19 @@
     private fun count(name: ClientAccount): WindowCount =
         used.getOrPut(name) { WindowCount(windowMs) }
 
-    private companion object {
-        const val MS_PER_S = 1_000.0
+    companion object {
+        private const val MS_PER_S = 1_000.0
 
         // The rest covers what the other hosts admit until they are heard of.
-        const val USED_TOLERANCE = 0.4
+        private const val USED_TOLERANCE = 0.4
+
+        // Twenty hosts that each hold back so much stay within the tolerance.
+        private const val NEWS_SHARE = 0.005
+
+        /** Share of a quota below which its use is not recorded. */
+        const val RECORD_FLOOR = 0.25
+
+        /** Growth of the use, as a share of the quota, after which it is recorded again. */
+        const val RECORD_STEP = 0.1
     }
 }
--- /dev/null
+++ b/core/serving/src/main/kotlin/org/hyssoprack/serving/limits/UseSlice.kt
@@ -0,0 +1,7 @@
+package org.hyssoprack.serving.limits
+
+import kotlinx.serialization.Serializable
+
+/** What was used from [startMs] on, for the length of one slice of a window. */
+@Serializable
+data class UseSlice(val startMs: Long, val amount: Double)
--- a/core/serving/src/main/kotlin/org/hyssoprack/serving/settings/ServingSettings.kt
+++ b/core/serving/src/main/kotlin/org/hyssoprack/serving/settings/ServingSettings.kt
@@ -15,6 +15,10 @@
     val limits: CallerLimits = CallerLimits(),
     private val accounts: Map<String, Account>? = null
 ) {
+    /** Accounts whose use is limited. */
+    val limitedAccounts: List<Account> =
+        accounts?.values?.distinct().orEmpty().filter { it.ratePerS > 0 }
+
     private val routesByHost: Map<String, Map<String, Route>> =
         routes.groupBy { it.host }.mapValues { (_, list) -> list.associateBy { it.prefix } }
 
--- /dev/null
+++ b/core/serving/src/test/kotlin/org/hyssoprack/serving/limits/QuotaLedgerTest.kt
@@ -0,0 +1,148 @@
+package org.hyssoprack.serving.limits
+
+import assertk.assertThat
+import assertk.assertions.isBetween
+import assertk.assertions.isEqualTo
+import assertk.assertions.isFalse
+import assertk.assertions.isLessThanOrEqualTo
+import assertk.assertions.isTrue
+import kotlin.random.Random
+import net.jqwik.api.Example
+import net.jqwik.api.ForAll
+import net.jqwik.api.Property
+import net.jqwik.api.constraints.LongRange
+import org.hyssoprack.common.ClientAccount
+import org.hyssoprack.common.HostId
+import org.hyssoprack.common.HostRef
+import org.hyssoprack.common.Incarnation
+import org.hyssoprack.common.ManualClock
+import org.hyssoprack.serving.settings.Account
+import org.hyssoprack.serving.settings.QuotaUnit
+
+class QuotaLedgerTest {
+    private val tolerance = QuotaTolerance(windowMs = 8_000, overage = 0.1, slackTokens = 1_000.0)
+    private val account = Account(
+        name = ClientAccount("bakery"),
+        unit = QuotaUnit.TOKENS,
+        ratePerS = 1_000.0,
+        burst = 1_000.0
+    )
+
+    /** Rate times window, burst, and the whole tolerance. */
+    private val allowed = (8_000.0 + 1_000.0) * 1.1 + 1_000.0
+
+    @Example
+    fun `what is admitted in a window depends on the hosts that are heard`() {
+        class Case(val name: String, val heard: Double, val least: Double, val most: Double)
+        val cases = listOf(
+            Case("all hosts heard", heard = 1.0, least = 9_000.0, most = allowed),
+            Case("cut off from eight others", heard = 1.0 / 9, least = 900.0, most = allowed / 9)
+        )
+        for (case in cases) {
+            val clock = ManualClock(100_000)
+            val ledger = QuotaLedger(clock, tolerance) { case.heard }
+            ledger.restore(emptyMap())
+            clock.advance(20_000)
+            val admitted = admitAll(ledger)
+            assertThat(admitted, case.name).isBetween(case.least, case.most)
+        }
+    }
+
+    @Example
+    fun `a request that did not run gives its quota back`() {
+        val clock = ManualClock(0)
+        val ledger = QuotaLedger(clock, tolerance) { 1.0 }
+        clock.advance(20_000)
+        admitAll(ledger)
+        assertThat(ledger.admit(account, STEP)).isFalse()
+        ledger.refund(account, STEP)
+        assertThat(ledger.admit(account, STEP)).isTrue()
+    }
+
+    @Example
+    fun `quota comes back as the window passes`() {
+        val clock = ManualClock(0)
+        val ledger = QuotaLedger(clock, tolerance) { 1.0 }
+        clock.advance(20_000)
+        admitAll(ledger)
+        assertThat(ledger.waitMs(account, STEP)).isBetween(1, 8_000)
+        clock.advance(9_000)
+        assertThat(ledger.admit(account, STEP)).isTrue()
+    }
+
+    @Example
+    fun `a restart of all hosts at once does not grant the window twice`() {
+        val clock = ManualClock(100_000)
+        val before = QuotaLedger(clock, tolerance) { 1.0 }
+        before.restore(emptyMap())
+        clock.advance(20_000)
+        val first = admitAll(before)
+        val recorded = before.use(account.name)
+        clock.advance(1_500)
+        val after = QuotaLedger(clock, tolerance) { 1.0 }
+        after.restore(mapOf(account.name to recorded))
+        assertThat(first + admitAll(after)).isLessThanOrEqualTo(allowed)
+    }
+
+    @Example
+    fun `a host that starts without a record holds back what may not have been recorded`() {
+        val clock = ManualClock(100_000)
+        val ledger = QuotaLedger(clock, tolerance) { 1.0 }
+        ledger.restore(emptyMap())
+        val unrecorded = 9_000.0 * QuotaLedger.RECORD_FLOOR
+        assertThat(unrecorded + admitAll(ledger)).isLessThanOrEqualTo(allowed)
+    }
+
+    @Example
+    fun `totals of a peer heard for the first time are no new use`() {
+        val clock = ManualClock(0)
+        val ledger = QuotaLedger(clock, tolerance) { 1.0 }
+        val peer = HostRef(HostId("b"), Incarnation(1))
+        ledger.learn(peer, mapOf(account.name to 50_000.0))
+        assertThat(ledger.usedShare(account)).isEqualTo(0.0)
+        ledger.learn(peer, mapOf(account.name to 54_500.0))
+        assertThat(ledger.usedShare(account)).isEqualTo(0.5)
+    }
+
+    /** Hosts that hear of each other with a lag keep the sum of any window within the tolerance. */
+    @Property(tries = 60)
+    fun `several hosts together stay within the quota`(@ForAll @LongRange(max = 1L shl 40) seed: Long) {
+        val random = Random(seed)
+        val clock = ManualClock(100_000)
+        val hosts = List(HOSTS) { QuotaLedger(clock, tolerance) { 1.0 } }
+        hosts.forEach { it.restore(emptyMap()) }
+        val refs = List(HOSTS) { HostRef(HostId("h$it"), Incarnation(1)) }
+        hosts.forEach { host -> refs.forEach { host.learn(it, emptyMap()) } }
+        clock.advance(20_000)
+        val window = WindowCount(tolerance.windowMs)
+        repeat(2_000) {
+            val host = hosts.random(random)
+            val amount = random.nextDouble(1.0, 40.0)
+            if (host.admit(account, amount)) window.add(clock.nowMs(), amount)
+            assertThat(window.total(clock.nowMs())).isLessThanOrEqualTo(allowed)
+            if (it % LAG_STEPS == 0) exchange(hosts, refs)
+            clock.advance(random.nextLong(1, 12))
+        }
+    }
+
+    private fun exchange(hosts: List<QuotaLedger>, refs: List<HostRef>) {
+        hosts.forEachIndexed { i, from ->
+            val totals = from.totals()
+            hosts.forEachIndexed { j, to -> if (i != j) to.learn(refs[i], totals) }
+        }
+    }
+
+    private fun admitAll(ledger: QuotaLedger): Double {
+        var sum = 0.0
+        while (ledger.admit(account, STEP)) sum += STEP
+        return sum
+    }
+
+    private companion object {
+        const val STEP = 10.0
+        const val HOSTS = 9
+
+        // Steps of 6 ms on average between exchanges every 200 ms.
+        const val LAG_STEPS = 30
+    }
+}
--- /dev/null
+++ b/core/serving/src/test/kotlin/org/hyssoprack/serving/settings/SettingsBookTest.kt
@@ -0,0 +1,72 @@
+package org.hyssoprack.serving.settings
+
+import assertk.assertThat
+import assertk.assertions.isEqualTo
+import assertk.assertions.isFalse
+import assertk.assertions.isTrue
+import net.jqwik.api.Example
+import org.hyssoprack.common.BundleVersion
+import org.hyssoprack.common.Clock
+
+class SettingsBookTest {
+    private class TwoClocks(var monotonicMs: Long = 1_000, var wallMs: Long = 50_000) : Clock {
+        override fun nowMs() = monotonicMs
+
+        override fun epochMs() = wallMs
+    }
+
+    private fun settings(version: Long) =
+        ServingSettings(BundleVersion(version), routes = emptyList(), services = emptyList())
+
+    @Example
+    fun `a version never goes back`() {
+        val book = SettingsBook(TwoClocks(), maxAgeMs = 4_000)
+        assertThat(book.accept(settings(7))).isTrue()
+        assertThat(book.accept(settings(5))).isFalse()
+        assertThat(book.accept(settings(7))).isFalse()
+        assertThat(book.current?.version).isEqualTo(BundleVersion(7))
+    }
+
+    @Example
+    fun `settings are fresh for a bounded time by either clock`() {
+        class Case(val name: String, val monotonic: Long, val wall: Long, val fresh: Boolean)
+        val cases = listOf(
+            Case("right after the read", monotonic = 0, wall = 0, fresh = true),
+            Case("within the bound", monotonic = 3_900, wall = 3_900, fresh = true),
+            Case("after the bound", monotonic = 4_000, wall = 4_000, fresh = false),
+            Case("suspended: the monotonic clock stood still", 10, wall = 6_000, fresh = false),
+            Case("the time of day jumped back", monotonic = 4_100, wall = -9_000, fresh = false)
+        )
+        for (case in cases) {
+            val clock = TwoClocks()
+            val book = SettingsBook(clock, maxAgeMs = 4_000)
+            book.accept(settings(1))
+            book.confirm(Moment.now(clock))
+            clock.monotonicMs += case.monotonic
+            clock.wallMs += case.wall
+            assertThat(book.isFresh(), case.name).isEqualTo(case.fresh)
+        }
+    }
+
+    @Example
+    fun `age counts from the start of the read, and an older read changes nothing`() {
+        val clock = TwoClocks()
+        val book = SettingsBook(clock, maxAgeMs = 4_000)
+        book.accept(settings(1))
+        val early = Moment.now(clock)
+        clock.monotonicMs += 1_000
+        clock.wallMs += 1_000
+        val late = Moment.now(clock)
+        book.confirm(late)
+        book.confirm(early)
+        assertThat(book.ageMs()).isEqualTo(0L)
+    }
+
+    @Example
+    fun `without settings nothing is fresh`() {
+        val clock = TwoClocks()
+        val book = SettingsBook(clock, maxAgeMs = 4_000)
+        book.confirm(Moment.now(clock))
+        assertThat(book.isFresh()).isFalse()
+    }
+}
--- a/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/PeerExchange.kt
+++ b/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/PeerExchange.kt
@@ -35,7 +35,7 @@
 
     /** Tells the peers, and forgets the load of those that are silent; called at intervals. */
     fun exchange() {
-        val digest = ServingDigest(quotas = quotas().totals().toMap(), loads = pools.ownLoads())
+        val digest = ServingDigest(quotas = quotas().totals(), loads = pools.ownLoads())
         view().live().map { it.ref.host }.filter { it != self.host }.forEach {
             link.send(it, digest)
         }
--- /dev/null
+++ b/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/QuotaRecorder.kt
@@ -0,0 +1,129 @@
+package org.hyssoprack.gateway.forwarding
+
+import arrow.core.Either
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
+import kotlinx.serialization.SerializationException
+import kotlinx.serialization.json.Json
+import org.hyssoprack.common.BackendServerId
+import org.hyssoprack.common.ClientAccount
+import org.hyssoprack.common.Clock
+import org.hyssoprack.common.EventLog
+import org.hyssoprack.common.FailureDomain
+import org.hyssoprack.common.HostId
+import org.hyssoprack.common.eq
+import org.hyssoprack.membership.MemberView
+import org.hyssoprack.membership.Ownership
+import org.hyssoprack.membership.RendezvousOwnership
+import org.hyssoprack.serving.limits.QuotaLedger
+import org.hyssoprack.serving.limits.UseSlice
+import org.hyssoprack.serving.settings.Account
+import org.hyssoprack.store.Row
+import org.hyssoprack.store.RowKey
+import org.hyssoprack.store.TableService
+import org.hyssoprack.store.WriteResult
+
+/**
+ * Records the use of quotas in the store, so that it outlasts a restart of all hosts at once. One
+ * host, by hashing over the live members, writes each account's use when it has grown by a step.
+ */
+class QuotaRecorder(
+    private val self: HostId,
+    private val table: TableService,
+    private val ledger: QuotaLedger,
+    private val view: () -> MemberView,
+    private val clock: Clock,
+    private val log: EventLog,
+    private val ownership: Ownership = RendezvousOwnership()
+) {
+    private val written = HashMap<ClientAccount, WrittenUse>()
+    private val writing = HashSet<ClientAccount>()
+
+    private class WrittenUse(val revision: Long, val share: Double, val ms: Long)
+
+    /** Reads what was recorded before this host's start; tries until the store answers. */
+    suspend fun restore() {
+        while (true) {
+            val rows = table.scan(TABLE, prefix = "")
+            rows.onRight {
+                ledger.restore(it.mapNotNull(::useOf).toMap())
+                return
+            }
+            delay(RETRY_MS)
+        }
+    }
+
+    /** Starts the writes that are due in [scope]; called at intervals. */
+    fun record(scope: CoroutineScope, accounts: Collection<Account>) {
+        accounts.filter { isDue(it) }.forEach { account ->
+            writing += account.name
+            scope.launch { write(account) }
+        }
+    }
+
+    private fun isDue(account: Account): Boolean {
+        if (account.name in writing || !isOwn(account.name)) return false
+        val share = ledger.usedShare(account)
+        if (share < QuotaLedger.RECORD_FLOOR) return false
+        val last = written[account.name] ?: return true
+        val ageMs = clock.nowMs() - last.ms
+        return share - last.share > QuotaLedger.RECORD_STEP / 2 || ageMs > REFRESH_MS
+    }
+
+    private fun isOwn(account: ClientAccount): Boolean =
+        ownership.owner(view(), BackendServerId("quota/$account"), ANY_DOMAIN) == self
+
+    private suspend fun write(account: Account) {
+        try {
+            val share = ledger.usedShare(account)
+            val text = Json.encodeToString(QuotaRecord.serializer(), recordOf(account.name))
+            val key = RowKey(TABLE, account.name.value)
+            val result = table.compareAndSet(key, written[account.name]?.revision ?: 0, text)
+            val revision = revisionAfter(result) ?: return failed(account.name, result)
+            // After a conflict the row holds another host's record, and the next step writes.
+            val isOwnRecord = result is WriteResult.Applied
+            written[account.name] =
+                WrittenUse(revision, if (isOwnRecord) share else NEVER, clock.nowMs())
+        } finally {
+            writing -= account.name
+        }
+    }
+
+    private fun revisionAfter(result: WriteResult): Long? = when (result) {
+        is WriteResult.Applied -> result.row.revision
+        is WriteResult.Conflict -> result.current?.revision ?: 0
+        is WriteResult.Refused, is WriteResult.Undecided -> null
+    }
+
+    private fun failed(account: ClientAccount, result: WriteResult) {
+        log.event("quota-record-failed", "account" eq account, "result" eq result)
+    }
+
+    private fun recordOf(account: ClientAccount): QuotaRecord {
+        val shiftMs = clock.epochMs() - clock.nowMs()
+        return QuotaRecord(ledger.use(account).map { it.copy(startMs = it.startMs + shiftMs) })
+    }
+
+    private fun useOf(row: Row): Pair<ClientAccount, List<UseSlice>>? {
+        val shiftMs = clock.epochMs() - clock.nowMs()
+        val record = Either.catchOrThrow<SerializationException, QuotaRecord> {
+            Json.decodeFromString(QuotaRecord.serializer(), row.value)
+        }.onLeft { log.event("quota-record-unreadable", "row" eq row.key.key) }.getOrNull()
+        val slices = record?.slices?.map { it.copy(startMs = it.startMs - shiftMs) } ?: return null
+        written[ClientAccount(row.key.key)] = WrittenUse(row.revision, NEVER, clock.nowMs())
+        return ClientAccount(row.key.key) to slices
+    }
+
+    private companion object {
+        const val TABLE = "quota"
+        const val RETRY_MS = 200L
+
+        // A record of steady use lasts for about this part of a window.
+        const val REFRESH_MS = 3_000L
+
+        // Any use is a step beyond it.
+        const val NEVER = -1.0
+        val ANY_DOMAIN = FailureDomain("")
+    }
+}
--- a/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/RequestAdmission.kt
+++ b/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/RequestAdmission.kt
@@ -91,6 +91,9 @@
     }
 
     private fun Raise<Failure>.takeQuota(account: Account, amount: Double) {
+        ensure(quotas.isRestored) {
+            Failure(ResultCode.HOST_ISOLATED, "The use of quotas is not known yet.", RETRY_MS)
+        }
         ensure(quotas.admit(account, amount)) {
             val waitMs = quotas.waitMs(account, amount) + RETRY_MS
             val detail = "${account.name} asks for ${amount.toLong()}, ${quotas.describe(account)}"
