--- a/core/serving/src/main/kotlin/org/hyssoprack/serving/limits/QuotaLedger.kt
+++ b/core/serving/src/main/kotlin/org/hyssoprack/serving/limits/QuotaLedger.kt
@@ -23,6 +23,7 @@
 ) {
     private val windowMs = tolerance.windowMs
     private val startedMs = clock.nowMs()
+    private val startedEpochMs = clock.epochMs()
     private val used = HashMap<ClientAccount, WindowCount>()
     private val recorded = HashSet<ClientAccount>()
     private val admitted = HashMap<ClientAccount, Double>()
@@ -72,14 +73,25 @@
 
     /** Takes in what [peer] has admitted since its start. */
     fun learn(peer: HostRef, totals: Map<ClientAccount, Double>) {
-        val before = seen.put(peer, totals)
-        // Totals of a host heard for the first time reach back to before this ledger's window.
-        if (before == null) return
+        val before = seen.put(peer, totals) ?: firstTotals(peer, totals)
         totals.forEach { (name, total) ->
             count(name).add(clock.nowMs(), total - (before[name] ?: 0.0))
         }
     }
 
+    /**
+     * What counts as known of a peer that is heard for the first time. Totals of one that started
+     * long ago reach back to before the window; all that one admitted which started lately may lie
+     * within it, as after a restart of all hosts.
+     */
+    private fun firstTotals(
+        peer: HostRef,
+        totals: Map<ClientAccount, Double>
+    ): Map<ClientAccount, Double> {
+        val isRecent = peer.incarnation.value >= startedEpochMs - windowMs
+        return if (isRecent) emptyMap() else totals
+    }
+
     /** Use of [account] in the window, for the lasting record. */
     fun use(account: ClientAccount): List<UseSlice> = count(account).slices(clock.nowMs())
 
--- a/core/serving/src/test/kotlin/org/hyssoprack/serving/limits/QuotaLedgerTest.kt
+++ b/core/serving/src/test/kotlin/org/hyssoprack/serving/limits/QuotaLedgerTest.kt
@@ -94,8 +94,18 @@
     }
 
     @Example
-    fun `totals of a peer heard for the first time are no new use`() {
-        val clock = ManualClock(0)
+    fun `totals of a peer that started together with this host count from the first on`() {
+        val clock = ManualClock(100_000)
+        val ledger = QuotaLedger(clock, tolerance) { 1.0 }
+        clock.advance(1_000)
+        val peer = HostRef(HostId("b"), Incarnation(100_200))
+        ledger.learn(peer, mapOf(account.name to 4_500.0))
+        assertThat(ledger.usedShare(account)).isEqualTo(0.5)
+    }
+
+    @Example
+    fun `totals of a peer that started long ago are no new use when first heard`() {
+        val clock = ManualClock(100_000)
         val ledger = QuotaLedger(clock, tolerance) { 1.0 }
         val peer = HostRef(HostId("b"), Incarnation(1))
         ledger.learn(peer, mapOf(account.name to 50_000.0))
