--- /dev/null
+++ b/core/serving/src/main/kotlin/org/hyssoprack/serving/placement/ServerSpeed.kt
@@ -0,0 +1,40 @@
+package org.hyssoprack.serving.placement
+
+/** A backend server's speed, learnt from the requests that it has served. */
+class ServerSpeed {
+    private val prefill = SpeedEstimate()
+    private val token = SpeedEstimate()
+    private val call = SpeedEstimate()
+
+    /** Time to read one prompt token, in milliseconds; null before the first sample. */
+    val prefillMs: Double? get() = prefill.value
+
+    /** Time to generate one token of a stream, in milliseconds; null before the first sample. */
+    val tokenMs: Double? get() = token.value
+
+    /** Time that a plain call takes, in milliseconds; null before the first sample. */
+    val callMs: Double? get() = call.value
+
+    /** A stream's first event came after [firstMs] while [tokens] prompt tokens were to be read. */
+    fun prompt(tokens: Int, firstMs: Long) {
+        if (tokens < MIN_PROMPT) return
+        prefill.add((firstMs - FIXED_MS).coerceAtLeast(1.0) / tokens)
+    }
+
+    /** A whole stream of [tokens] took [ms] from its first event to its end. */
+    fun stream(tokens: Int, ms: Long) {
+        if (tokens >= MIN_OUTPUT) token.add(ms.toDouble() / tokens)
+    }
+
+    /** A plain call took [ms]. */
+    fun call(ms: Long) = call.add(ms.toDouble())
+
+    internal companion object {
+        /** Time to the first event that does not depend on the prompt, in milliseconds. */
+        const val FIXED_MS = 12.0
+
+        // Smaller prompts and answers say little: fixed costs outweigh them.
+        private const val MIN_PROMPT = 1_000
+        private const val MIN_OUTPUT = 40
+    }
+}
--- a/core/serving/src/main/kotlin/org/hyssoprack/serving/placement/ServerState.kt
+++ b/core/serving/src/main/kotlin/org/hyssoprack/serving/placement/ServerState.kt
@@ -13,24 +13,30 @@
     var server: RegisteredServer = server
         private set
 
-    /** Cost of a prompt token until the first event, in milliseconds. */
-    val prefillMs = SpeedEstimate()
-
-    /** Time between two events of a stream, or a plain call's whole time, in milliseconds. */
-    val paceMs = SpeedEstimate()
+    /** Speed, as learnt from the requests that this host has sent there. */
+    val speed = ServerSpeed()
 
+    private val health = ServerHealth(clock)
     private var own = PeerLoad()
     private var peers = PeerLoad()
-    private var failuresInRow = 0
-    private var lastHeardMs = clock.nowMs()
-    private var oldestUnheardMs: Long? = null
-    private var restUntilMs = Long.MIN_VALUE
+    private var reportedOthers = 0
+    private var reportedMs = Long.MIN_VALUE / 2
+    private var fullUntilMs = Long.MIN_VALUE
 
     /** What this host has in progress there. */
     val ownLoad: PeerLoad get() = own
 
     /** What all hosts have in progress there, as far as known. */
-    val load: PeerLoad get() = own + peers
+    val load: PeerLoad
+        get() {
+            val known = own + peers
+            val isReportFresh = clock.nowMs() - reportedMs < REPORT_LIFETIME_MS
+            if (!isReportFresh) return known
+            return known.copy(running = maxOf(known.running, own.running + reportedOthers))
+        }
+
+    /** Whether the server has failed lately or has gone silent, so that others go before it. */
+    val isSuspect: Boolean get() = health.isSuspect
 
     /** Takes over what the same run of the server says of itself now. */
     fun update(now: RegisteredServer) {
@@ -42,25 +48,23 @@
         peers = load
     }
 
+    /** Takes in what the server itself says that it has in progress. */
+    fun reported(load: ReportedLoad) {
+        reportedOthers = (load.running + load.waiting - own.running).coerceAtLeast(0)
+        reportedMs = clock.nowMs()
+    }
+
     /** Whether the server has a free slot and memory for [work]. */
     fun hasRoom(work: Work): Boolean {
         val load = load
-        if (load.running >= server.slots) return false
+        if (load.running >= server.slots || clock.nowMs() < fullUntilMs) return false
         val memory = memoryTokens ?: return true
         return load.running == 0 || load.tokens + work.tokens <= memory * MEMORY_SHARE
     }
 
-    /** Whether the server has failed lately or has gone silent, so that others go before it. */
-    fun isSuspect(): Boolean {
-        val nowMs = clock.nowMs()
-        if (nowMs < restUntilMs) return true
-        val waitingSince = oldestUnheardMs ?: return false
-        return nowMs - maxOf(waitingSince, lastHeardMs) > SILENCE_MS
-    }
-
     fun dispatched(work: Work) {
         own += PeerLoad(1, work.promptTokens, work.tokens)
-        if (oldestUnheardMs == null) oldestUnheardMs = clock.nowMs()
+        health.waiting()
     }
 
     /** The prompt of [work] has been read. */
@@ -72,43 +76,33 @@
     fun ended(work: Work, promptRead: Boolean) {
         val unread = if (promptRead) 0 else work.promptTokens
         own += PeerLoad(-1, -unread, -work.tokens)
-        if (own.running == 0) oldestUnheardMs = null
+        if (own.running == 0) health.idle()
     }
 
     /** Bytes have arrived from the server. */
-    fun heard() {
-        lastHeardMs = clock.nowMs()
-    }
+    fun heard() = health.heard()
 
-    fun succeeded() {
-        failuresInRow = 0
-        restUntilMs = Long.MIN_VALUE
-    }
+    fun succeeded() = health.succeeded()
 
-    /** A call failed; the server rests longer with each failure in a row. */
-    fun failed() {
-        failuresInRow++
-        val restMs = (REST_MS shl minOf(failuresInRow - 1, MAX_REST_DOUBLINGS))
-        if (failuresInRow >= FAILURES_BEFORE_REST) restUntilMs = clock.nowMs() + restMs
-    }
+    /** A call failed. */
+    fun failed() = health.failed()
+
+    /** The server cannot be reached. */
+    fun unreachable() = health.unreachable()
 
-    /** The server cannot be reached; it rests at once. */
-    fun unreachable() {
-        failuresInRow = maxOf(failuresInRow, FAILURES_BEFORE_REST - 1)
-        failed()
+    /** The server turned a request away since it is full. */
+    fun full() {
+        fullUntilMs = clock.nowMs() + FULL_MS
     }
 
     private companion object {
         // Room for the tokens of requests that run longer than expected.
         const val MEMORY_SHARE = 0.9
 
-        // Longer than any pause between events of a healthy server; well below the two seconds
-        // after which callers give up a silent stream.
-        const val SILENCE_MS = 700L
+        // Other hosts' requests come and go within about this time.
+        const val REPORT_LIFETIME_MS = 500L
 
-        // A server with occasional failures keeps its traffic.
-        const val FAILURES_BEFORE_REST = 3
-        const val REST_MS = 250L
-        const val MAX_REST_DOUBLINGS = 3
+        // About the time in which one of a full server's slots becomes free.
+        const val FULL_MS = 100L
     }
 }
--- a/core/serving/src/main/kotlin/org/hyssoprack/serving/queue/QueuedRequest.kt
+++ b/core/serving/src/main/kotlin/org/hyssoprack/serving/queue/QueuedRequest.kt
@@ -11,6 +11,7 @@
  * @property arrivedMs when the caller's request was read, on the monotonic clock.
  * @property targetMs time from arrival within which the answer counts as in time.
  * @property giveUpMs monotonic time after which it is refused.
+ * @property endMs monotonic time by which it must be answered.
  * @property avoid servers that have failed it already.
  */
 class QueuedRequest(
@@ -20,6 +21,7 @@
     val arrivedMs: Long,
     val targetMs: Long,
     val giveUpMs: Long,
+    val endMs: Long,
     val avoid: Set<BackendServerId> = emptySet()
 ) {
     /** Whether its answer can still come in time. */
--- a/core/serving/src/test/kotlin/org/hyssoprack/serving/placement/ServerChooserTest.kt
+++ b/core/serving/src/test/kotlin/org/hyssoprack/serving/placement/ServerChooserTest.kt
@@ -37,12 +37,12 @@
     )
 
     private fun choose(vararg states: ServerState) =
-        chooser.choose(states.toList(), letter)?.server?.id?.value
+        chooser.choose(states.toList(), letter, leftMs = 15_000)?.server?.id?.value
 
     @Example
     fun `the server that is expected to answer first is chosen`() {
-        val slow = state("slow", memory = 50_000).also { s -> repeat(5) { s.prefillMs.add(0.06) } }
-        val fast = state("fast", memory = 50_000).also { s -> repeat(5) { s.prefillMs.add(0.01) } }
+        val slow = state("slow", memory = 50_000).also { s -> repeat(5) { s.speed.prompt(1_000, 72) } }
+        val fast = state("fast", memory = 50_000).also { s -> repeat(5) { s.speed.prompt(1_000, 22) } }
         assertThat(choose(slow, fast)).isEqualTo("fast")
         fast.dispatched(Work(promptTokens = 3_000))
         assertThat(choose(slow, fast)).isEqualTo("fast")
@@ -57,6 +57,27 @@
         assertThat(choose(full, filled, leaving, state("free"))).isEqualTo("free")
     }
 
+    @Example
+    fun `a server that cannot end the request in time is no choice while another one could`() {
+        val slow = state("slow").also { s -> repeat(5) { s.speed.stream(400, 16_000) } }
+        val fast = state("fast", slots = 1).also { s -> repeat(5) { s.speed.stream(400, 1_600) } }
+        assertThat(choose(slow, fast)).isEqualTo("fast")
+        fast.dispatched(Work())
+        assertThat(choose(slow, fast)).isNull()
+        assertThat(choose(slow)).isEqualTo("slow")
+    }
+
+    @Example
+    fun `what a server says of its load counts while it is recent`() {
+        val state = state("reporting")
+        state.reported(ReportedLoad(running = 1, waiting = 1))
+        assertThat(choose(state)).isNull()
+        clock.advance(1_000)
+        assertThat(choose(state)).isEqualTo("reporting")
+        state.full()
+        assertThat(choose(state)).isNull()
+    }
+
     @Example
     fun `the load of other hosts counts`() {
         val busy = state("busy").also { it.setPeers(PeerLoad(running = 2)) }
--- a/core/serving/src/test/kotlin/org/hyssoprack/serving/queue/DispatchQueueTest.kt
+++ b/core/serving/src/test/kotlin/org/hyssoprack/serving/queue/DispatchQueueTest.kt
@@ -14,7 +14,8 @@
         rank = rank,
         arrivedMs = arrivedMs,
         targetMs = 400,
-        giveUpMs = giveUpMs
+        giveUpMs = giveUpMs,
+        endMs = arrivedMs + 10_000
     )
 
     @Example
--- a/gateway/api/src/main/kotlin/org/hyssoprack/gateway/AnswerFacts.kt
+++ b/gateway/api/src/main/kotlin/org/hyssoprack/gateway/AnswerFacts.kt
@@ -1,5 +1,7 @@
 package org.hyssoprack.gateway
 
+import org.hyssoprack.serving.placement.ReportedLoad
+
 /**
  * What the headers of a backend server's answer say.
  *
@@ -7,6 +9,7 @@
  * @property isSealed whether it bears the server's mark of a genuine answer.
  * @property isNotRun whether the server states that it did not run the request.
  * @property isOtherServer whether another server has the address.
+ * @property load what the server has in progress; null if it does not say.
  * @property idleTimeoutMs how long the server keeps an idle connection; null if it does not say.
  */
 data class AnswerFacts(
@@ -14,5 +17,6 @@
     val isSealed: Boolean,
     val isNotRun: Boolean,
     val isOtherServer: Boolean,
+    val load: ReportedLoad? = null,
     val idleTimeoutMs: Long? = null
 )
--- a/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/RequestForwarder.kt
+++ b/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/RequestForwarder.kt
@@ -72,7 +72,7 @@
         answer: AnswerWriter,
         progress: CallProgress
     ): CallEnd {
-        val relay = StreamRelay(answer, clock)
+        val relay = StreamRelay(answer)
         var call = admitted
         while (true) {
             val state = pools[call.service].acquire(queued(call, progress)).getOrElse {
@@ -111,7 +111,7 @@
         state = state,
         progress = progress,
         relay = relay,
-        mayMove = { mayRunAgain(call, progress) && state.isSuspect() && takeRepeat(call) }
+        mayMove = { mayRunAgain(call, progress) && takeRepeat(call) }
     )
 
     /** What the caller gets after [end]; null if the request goes to another server. */
@@ -206,6 +206,7 @@
             arrivedMs = call.arrivedMs,
             targetMs = call.route.targetMs,
             giveUpMs = clock.nowMs() + patienceMs,
+            endMs = call.endMs,
             avoid = progress.tried
         )
     }
--- a/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/ServerAttempt.kt
+++ b/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/ServerAttempt.kt
@@ -30,7 +30,9 @@
     private val mayMove: () -> Boolean
 ) {
     private val startMs = clock.nowMs()
+    private val tokensAhead = state.load.promptTokens
     private var promptRead = false
+    private var firstMs = 0L
 
     /** Sends the request and relays the answer; the slot of [state] is given back at the end. */
     suspend fun run(): AttemptEnd {
@@ -91,6 +93,7 @@
                 else -> continue
             }
             val facts = wire.readAnswer(head)
+            facts.load?.let { state.reported(it) }
             val isForeign = facts.requestId != null && facts.requestId != call.facts.id
             if (isForeign) continue
             return relayOwn(connection, head, facts)
@@ -160,11 +163,11 @@
 
     private fun firstBytes() {
         promptRead = true
+        firstMs = clock.nowMs()
         state.promptRead(call.work)
         val nowMs = clock.nowMs()
         if (progress.firstByteMs == null) progress.firstByteMs = nowMs
-        val tokens = call.work.promptTokens
-        if (tokens > 0) state.prefillMs.add((nowMs - startMs).toDouble() / tokens)
+        state.speed.prompt(tokens = tokensAhead, firstMs = nowMs - startMs)
     }
 
     private suspend fun readBody(connection: ServerConnection): ByteArray? {
@@ -186,24 +189,34 @@
                 state.heard()
                 return part
             }
-            if (mayMove()) return null
+            if (isStuck() && mayMove()) return null
         }
     }
 
+    /** Whether nothing came for so long that another server is likely to be sooner. */
+    private fun isStuck(): Boolean =
+        state.isSuspect || (!promptRead && clock.nowMs() - startMs >= STUCK_MS)
+
     private fun learn(end: AttemptEnd) {
         when (end) {
-            is AttemptEnd.Delivered -> state.succeeded()
+            is AttemptEnd.Delivered -> learnStream()
             is AttemptEnd.Answered -> learnAnswer(end)
             is AttemptEnd.Broken -> state.failed()
-            is AttemptEnd.NotRun -> Unit
+            is AttemptEnd.NotRun -> if (end.arrived) state.full()
+        }
+    }
+
+    private fun learnStream() {
+        state.succeeded()
+        if (relay.isFromOneServer) {
+            state.speed.stream(call.work.outputTokens, clock.nowMs() - firstMs)
         }
-        if (end is AttemptEnd.Delivered) relay.pauseMs()?.let { state.paceMs.add(it) }
     }
 
     private fun learnAnswer(end: AttemptEnd.Answered) {
         if (end.status >= FIRST_FAILURE) return state.failed()
         state.succeeded()
-        if (call.work.tokens == 0) state.paceMs.add((clock.nowMs() - startMs).toDouble())
+        if (call.work.tokens == 0) state.speed.call(clock.nowMs() - startMs)
     }
 
     private fun idleMs(facts: AnswerFacts): Long {
@@ -221,6 +234,9 @@
         // Twice the longest pause that counts as on time, and half of callers' patience.
         const val SILENCE_MS = 1_000L
 
+        // Longer than healthy servers take for the largest prompts.
+        const val STUCK_MS = 2_000L
+
         // A request that is sent while the server closes the connection is in doubt.
         const val IDLE_MARGIN_MS = 800L
         const val DEFAULT_IDLE_MS = 3_000L
--- a/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/ServerPool.kt
+++ b/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/ServerPool.kt
@@ -113,7 +113,9 @@
 
     private fun grant(request: QueuedRequest): ServerState? {
         val others = states.values.filter { it.server.id !in request.avoid }
-        val state = chooser.choose(others.ifEmpty { states.values }, request.work) ?: return null
+        val leftMs = request.endMs - clock.nowMs()
+        val state = chooser.choose(others.ifEmpty { states.values }, request.work, leftMs)
+            ?: return null
         state.dispatched(request.work)
         granted.add(clock.nowMs(), 1.0)
         return state
--- a/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/StreamRelay.kt
+++ b/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/StreamRelay.kt
@@ -1,15 +1,12 @@
 package org.hyssoprack.gateway.forwarding
 
 import io.netty.handler.codec.http.HttpHeaders
-import org.hyssoprack.common.Clock
 import org.hyssoprack.gateway.AnswerWriter
 
 /** Passes a stream's whole events to the caller, from one server or several in turn. */
-internal class StreamRelay(private val answer: AnswerWriter, private val clock: Clock) {
+internal class StreamRelay(private val answer: AnswerWriter) {
     private val events = EventSplitter()
-    private var firstMs = 0L
-    private var lastMs = 0L
-    private var passes = 0
+    private var servers = 0
 
     /** The last event that the caller has been sent; null before the first. */
     val lastEventId: String? get() = events.lastEventId
@@ -20,9 +17,13 @@
     /** Whether no event is cut in two. */
     val isWhole: Boolean get() = !events.hasPartialEvent
 
+    /** Whether the whole stream so far came from one server. */
+    val isFromOneServer: Boolean get() = servers == 1
+
     /** Writes the head, unless a server before has given one. */
     suspend fun begin(status: Int, headers: HttpHeaders) {
         events.dropPartial()
+        servers++
         if (!answer.isStarted) answer.start(status, headers)
     }
 
@@ -30,22 +31,8 @@
     suspend fun pass(bytes: ByteArray) {
         val whole = events.add(bytes)
         if (whole.isEmpty()) return
-        lastMs = clock.nowMs()
-        if (passes == 0) firstMs = lastMs
-        passes++
         answer.send(whole)
     }
 
     suspend fun end() = answer.end()
-
-    /** Mean time between two events, in milliseconds; null if there were too few. */
-    fun pauseMs(): Double? {
-        if (passes < MIN_PASSES) return null
-        return (lastMs - firstMs).toDouble() / (passes - 1)
-    }
-
-    private companion object {
-        // Fewer events say little about a server's pace.
-        const val MIN_PASSES = 4
-    }
 }
