Wait rather than dispatch what comes too late, and stop waiting before callers leave

Requests now wait for a server on which the first event can be in time, late ones go after all that can be in time, and the wait ends at half of the callers' patience.

--- /dev/null
+++ b/core/serving/src/main/kotlin/org/hyssoprack/serving/placement/Demand.kt
@@ -0,0 +1,15 @@
+package org.hyssoprack.serving.placement
+
+/**
+ * What a request asks of a server at one moment; times in milliseconds from now.
+ *
+ * @property endLeftMs time until the whole answer must be there.
+ * @property targetLeftMs time until the first event counts as late; not above 0 if it is late.
+ * @property patienceLeftMs time until the caller leaves if there is no first event.
+ */
+data class Demand(
+    val work: Work,
+    val endLeftMs: Long,
+    val targetLeftMs: Long = endLeftMs,
+    val patienceLeftMs: Long = endLeftMs
+)
--- a/core/serving/src/main/kotlin/org/hyssoprack/serving/placement/ServerChooser.kt
+++ b/core/serving/src/main/kotlin/org/hyssoprack/serving/placement/ServerChooser.kt
@@ -6,35 +6,61 @@
 /**
  * Chooses the server on which a request is expected to go best. Answers load in which servers of
  * unlike speed are partly full: the time to the first event counts most, the time for which the
- * slot is held counts in part, and a server that cannot end the request in time is no choice while
- * another one could.
+ * slot is held counts in part, and a request waits rather than go to a server on which it comes
+ * too late while it could still be in time on another one.
  */
 class ServerChooser(
     private val domain: FailureDomain,
     private val random: Random = Random.Default
 ) {
-    /** The best of [candidates] for [work], which has [leftMs]; null if it should wait. */
-    fun choose(candidates: Collection<ServerState>, work: Work, leftMs: Long): ServerState? {
-        val usable = candidates.filter { !it.server.isLeaving && it.hasRoom(work) }
+    /** The best of [candidates] for [demand]; null if it should wait. */
+    fun choose(candidates: Collection<ServerState>, demand: Demand): ServerState? {
+        val work = demand.work
+        val present = candidates.filter { !it.server.isLeaving }
+        val usable = present.filter { it.hasRoom(work) }
         if (usable.isEmpty()) return null
         val typical = typical(candidates)
         val sound = usable.filter { !it.isSuspect }.ifEmpty { usable }
-        val able = sound.filter { wholeMs(it, work, typical) <= leftMs }
-        if (able.isEmpty() && isWorthWaiting(candidates, work, typical, leftMs)) return null
+        val limits = limitsOf(present, demand, typical)
+        val able = sound.filter { isAble(it, work, typical, limits) }
+        if (able.isEmpty() && limits.isReachable) return null
         return able.ifEmpty { sound }.minByOrNull { costMs(it, work, typical) * jitter() }
     }
 
-    /** Whether a server that is full now could end the request in time. */
-    private fun isWorthWaiting(
-        candidates: Collection<ServerState>,
+    /** What can be asked of a server: to be in time if any could be, else what callers endure. */
+    private fun limitsOf(
+        present: List<ServerState>,
+        demand: Demand,
+        typical: TypicalSpeed
+    ): Limits {
+        val work = demand.work
+        val sound = present.filter { !it.isSuspect }
+        val bestFirst = sound.minOfOrNull { idleFirstMs(it, work, typical) } ?: Double.MAX_VALUE
+        val bestWhole = sound.minOfOrNull { idleFirstMs(it, work, typical) + restMs(it, work, typical) }
+            ?: Double.MAX_VALUE
+        val canBeInTime = bestFirst <= demand.targetLeftMs
+        val firstMs = if (canBeInTime) demand.targetLeftMs else demand.patienceLeftMs
+        return Limits(
+            firstMs = firstMs.toDouble(),
+            wholeMs = demand.endLeftMs.toDouble(),
+            isReachable = bestFirst <= firstMs && bestWhole <= demand.endLeftMs
+        )
+    }
+
+    private fun isAble(
+        state: ServerState,
         work: Work,
         typical: TypicalSpeed,
-        leftMs: Long
-    ): Boolean = candidates.any {
-        !it.server.isLeaving && !it.isSuspect && !it.hasRoom(work) &&
-            wholeMs(it, work, typical) <= leftMs * WAIT_SHARE
+        limits: Limits
+    ): Boolean {
+        val first = firstMs(state, work, typical)
+        return first <= limits.firstMs && first + restMs(state, work, typical) <= limits.wholeMs
     }
 
+    /** Expected time to the first event if the server had nothing else to read. */
+    private fun idleFirstMs(state: ServerState, work: Work, typical: TypicalSpeed): Double =
+        ServerSpeed.FIXED_MS + work.promptTokens * (state.speed.prefillMs ?: typical.prefillMs)
+
     /** Expected time to the first event, in milliseconds. */
     private fun firstMs(state: ServerState, work: Work, typical: TypicalSpeed): Double {
         val prefill = state.speed.prefillMs ?: typical.prefillMs
@@ -45,9 +71,6 @@
     private fun restMs(state: ServerState, work: Work, typical: TypicalSpeed): Double =
         work.outputTokens * (state.speed.tokenMs ?: typical.tokenMs)
 
-    private fun wholeMs(state: ServerState, work: Work, typical: TypicalSpeed): Double =
-        firstMs(state, work, typical) + restMs(state, work, typical)
-
     private fun costMs(state: ServerState, work: Work, typical: TypicalSpeed): Double {
         val distance = if (state.server.domain == domain) 0.0 else FAR_MS
         val used = state.load.running.toDouble() / state.server.slots
@@ -74,6 +97,9 @@
     // Hosts with the same knowledge must not all choose the same server.
     private fun jitter() = 1.0 + random.nextDouble() * JITTER
 
+    /** Bounds in milliseconds; [isReachable] tells whether some server could meet them. */
+    private class Limits(val firstMs: Double, val wholeMs: Double, val isReachable: Boolean)
+
     private class TypicalSpeed(val prefillMs: Double, val tokenMs: Double, val callMs: Double)
 
     private companion object {
@@ -87,8 +113,5 @@
         const val FULL_COST_MS = 20.0
         const val FAR_MS = 2.0
         const val JITTER = 0.2
-
-        // Part of the time left that may be needed after a wait.
-        const val WAIT_SHARE = 0.8
     }
 }
--- a/core/serving/src/main/kotlin/org/hyssoprack/serving/queue/DispatchQueue.kt
+++ b/core/serving/src/main/kotlin/org/hyssoprack/serving/queue/DispatchQueue.kt
@@ -1,8 +1,9 @@
 package org.hyssoprack.serving.queue
 
 /**
- * Orders the requests of one service that wait for a slot: urgent ranks first, within a rank those
- * that can still be in time, and among these the oldest first.
+ * Orders the requests of one service that wait for a slot: those that can still be in time first,
+ * among these the urgent ranks, and within a rank the oldest. Answers overload in which not all can
+ * be in time: a late answer is worth a part of one in time, whatever its rank.
  */
 class DispatchQueue {
     private val waiting = ArrayList<QueuedRequest>()
@@ -20,7 +21,7 @@
 
     /** Waiting requests in the order in which they should be served. */
     fun ordered(nowMs: Long): List<QueuedRequest> = waiting.sortedWith(
-        compareBy({ it.rank }, { !it.isInTime(nowMs) }, { it.arrivedMs })
+        compareBy({ !it.isInTime(nowMs) }, { it.rank }, { it.arrivedMs })
     )
 
     /** Removes and returns the requests whose time to wait is over. */
--- a/core/serving/src/main/kotlin/org/hyssoprack/serving/queue/QueuedRequest.kt
+++ b/core/serving/src/main/kotlin/org/hyssoprack/serving/queue/QueuedRequest.kt
@@ -2,6 +2,7 @@
 
 import org.hyssoprack.common.BackendServerId
 import org.hyssoprack.common.ServiceId
+import org.hyssoprack.serving.placement.Demand
 import org.hyssoprack.serving.placement.Work
 
 /**
@@ -11,6 +12,7 @@
  * @property arrivedMs when the caller's request was read, on the monotonic clock.
  * @property targetMs time from arrival within which the answer counts as in time.
  * @property giveUpMs monotonic time after which it is refused.
+ * @property patienceMs time from arrival after which the caller leaves without a first event.
  * @property endMs monotonic time by which it must be answered.
  * @property avoid servers that have failed it already.
  */
@@ -22,8 +24,22 @@
     val targetMs: Long,
     val giveUpMs: Long,
     val endMs: Long,
+    val patienceMs: Long = endMs - arrivedMs,
     val avoid: Set<BackendServerId> = emptySet()
 ) {
     /** Whether its answer can still come in time. */
-    fun isInTime(nowMs: Long): Boolean = nowMs < arrivedMs + targetMs
+    fun isInTime(nowMs: Long): Boolean = nowMs < arrivedMs + targetMs * WAIT_SHARE
+
+    /** What it asks of a server at [nowMs]. */
+    fun demand(nowMs: Long) = Demand(
+        work = work,
+        endLeftMs = endMs - nowMs,
+        targetLeftMs = arrivedMs + targetMs - nowMs,
+        patienceLeftMs = arrivedMs + patienceMs - nowMs
+    )
+
+    private companion object {
+        // The rest of the target is for the server's own time to the first event.
+        const val WAIT_SHARE = 0.8
+    }
 }
--- a/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/RequestForwarder.kt
+++ b/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/RequestForwarder.kt
@@ -198,15 +198,17 @@
     }
 
     private fun queued(call: AdmittedCall, progress: CallProgress): QueuedRequest {
-        val patienceMs = (call.endMs - call.arrivedMs) / PATIENCE_SHARE
+        val wholeMs = call.endMs - call.arrivedMs
+        val patienceMs = minOf(wholeMs, call.route.callerPatienceMs)
         return QueuedRequest(
             service = call.service,
             work = call.work,
             rank = call.rank,
             arrivedMs = call.arrivedMs,
             targetMs = call.route.targetMs,
-            giveUpMs = clock.nowMs() + patienceMs,
+            giveUpMs = call.arrivedMs + minOf(wholeMs / TIME_SHARE, patienceMs / 2),
             endMs = call.endMs,
+            patienceMs = patienceMs,
             avoid = progress.tried
         )
     }
@@ -243,7 +245,7 @@
 
         // A request that waits for longer than this share of its time is refused, so that its
         // caller can come back while there is time left.
-        const val PATIENCE_SHARE = 4
+        const val TIME_SHARE = 4
         const val REFUSED_RETRY_MS = 300L
 
         // Another host takes the request at once.
--- a/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/ServerAttempt.kt
+++ b/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/ServerAttempt.kt
@@ -229,7 +229,7 @@
         const val FIRST_FAILURE = 500
 
         // A new connection takes a few milliseconds; a server that is gone answers nothing.
-        const val CONNECT_TIMEOUT_MS = 400
+        const val CONNECT_TIMEOUT_MS = 200
 
         // Twice the longest pause that counts as on time, and half of callers' patience.
         const val SILENCE_MS = 1_000L
--- a/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/ServerPool.kt
+++ b/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/ServerPool.kt
@@ -113,9 +113,8 @@
 
     private fun grant(request: QueuedRequest): ServerState? {
         val others = states.values.filter { it.server.id !in request.avoid }
-        val leftMs = request.endMs - clock.nowMs()
-        val state = chooser.choose(others.ifEmpty { states.values }, request.work, leftMs)
-            ?: return null
+        val demand = request.demand(clock.nowMs())
+        val state = chooser.choose(others.ifEmpty { states.values }, demand) ?: return null
         state.dispatched(request.work)
         granted.add(clock.nowMs(), 1.0)
         return state
