--- a/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/ServerPool.kt
+++ b/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/ServerPool.kt
@@ -3,7 +3,6 @@
 import arrow.core.Either
 import arrow.core.left
 import arrow.core.right
-import kotlin.random.Random
 import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.ExperimentalCoroutinesApi
@@ -18,13 +17,14 @@
 import org.hyssoprack.serving.placement.ServerState
 import org.hyssoprack.serving.queue.DispatchQueue
 import org.hyssoprack.serving.queue.QueuedRequest
+import org.hyssoprack.serving.queue.ReturnSchedule
 import org.hyssoprack.serving.settings.ServiceSpec
 
 /** The backend servers of one service and the requests that wait for them. */
 class ServerPool(
     private val clock: Clock,
     private val chooser: ServerChooser,
-    private val random: Random = Random.Default
+    private val returns: ReturnSchedule = ReturnSchedule()
 ) {
     private val states = LinkedHashMap<BackendServerId, ServerState>()
     private val queue = DispatchQueue()
@@ -62,12 +62,12 @@
     /** Waits for a slot. Fails with a reason if there is none in time; nothing was sent then. */
     suspend fun acquire(request: QueuedRequest): Either<Failure, ServerState> {
         if (states.isEmpty()) {
-            return refusal(ResultCode.NO_BACKEND_SERVER, "No server is registered.").left()
+            return refusal(request, ResultCode.NO_BACKEND_SERVER, "No server is registered.").left()
         }
         if (queue.size == 0) grant(request)?.let { return it.right() }
         val ahead = queue.ahead(request.rank)
         if (isHopeless(request, ahead)) {
-            return refusal(ResultCode.QUEUE_FULL, "$ahead requests wait before it.").left()
+            return refusal(request, ResultCode.QUEUE_FULL, "$ahead requests wait before it.").left()
         }
         queue.add(request)
         val result = CompletableDeferred<Either<Failure, ServerState>>()
@@ -81,7 +81,8 @@
         if (queue.size == 0) return
         val nowMs = clock.nowMs()
         queue.takeExpired(nowMs).forEach {
-            settle(it, refusal(ResultCode.DEADLINE_UNREACHABLE, "No slot was free in time.").left())
+            val failure = refusal(it, ResultCode.DEADLINE_UNREACHABLE, "No slot was free in time.")
+            settle(it, failure.left())
         }
         for (request in queue.ordered(nowMs)) {
             val state = grant(request) ?: continue
@@ -126,12 +127,9 @@
         return clock.nowMs() + ahead / perMs > request.giveUpMs
     }
 
-    private fun refusal(code: ResultCode, detail: String): Failure {
-        val perMs = granted.total(clock.nowMs()) / RATE_WINDOW_MS
-        val clearMs = if (perMs > 0) queue.size / perMs else MIN_RETRY_MS
-        val baseMs = clearMs.coerceIn(MIN_RETRY_MS, MAX_RETRY_MS)
-        // Spread, so that those who were refused together do not come back together.
-        return Failure(code, detail, (baseMs * (1 + random.nextDouble())).toLong())
+    private fun refusal(request: QueuedRequest, code: ResultCode, detail: String): Failure {
+        val nowMs = clock.nowMs()
+        return Failure(code, detail, returns.returnMs(nowMs, request.endMs - nowMs))
     }
 
     private fun settle(request: QueuedRequest, result: Either<Failure, ServerState>) {
@@ -143,7 +141,5 @@
 
         // Shorter queues say little about the time to wait.
         const val MIN_QUEUE = 4
-        const val MIN_RETRY_MS = 250.0
-        const val MAX_RETRY_MS = 2_000.0
     }
 }
--- /dev/null
+++ b/gateway/forwarding/src/test/kotlin/org/hyssoprack/gateway/forwarding/FeedFollowerTest.kt
@@ -0,0 +1,102 @@
+package org.hyssoprack.gateway.forwarding
+
+import arrow.core.Either
+import arrow.core.left
+import arrow.core.right
+import assertk.assertThat
+import assertk.assertions.containsExactly
+import kotlinx.coroutines.CompletableDeferred
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.runBlocking
+import net.jqwik.api.Example
+import org.hyssoprack.common.Failure
+import org.hyssoprack.common.ResultCode
+import org.hyssoprack.common.SilentEventLog
+import org.hyssoprack.common.SystemClock
+import org.hyssoprack.serving.settings.Moment
+import org.hyssoprack.store.FeedRow
+import org.hyssoprack.store.RowChanges
+import org.hyssoprack.store.RowFeed
+import org.hyssoprack.store.RowSnapshot
+
+class FeedFollowerTest {
+    private val row = FeedRow("a", "1")
+    private val snapshot = RowSnapshot(listOf(row), revision = 5).right()
+    private val nothing = RowChanges(emptyList(), revision = 5).right()
+    private val away = Failure(ResultCode.STORE_UNAVAILABLE, "no reply").left()
+    private val forgotten = Failure(ResultCode.HISTORY_LOST, "410").left()
+
+    private class Case(
+        val name: String,
+        val answers: List<Either<Failure, Any>>,
+        val seen: List<String>
+    )
+
+    @Example
+    fun `the table is followed over outages and lost history`() {
+        val cases = listOf(
+            Case("read, then empty answers", listOf(snapshot, nothing), listOf("all", "ok", "ok")),
+            Case(
+                "a change",
+                listOf(snapshot, RowChanges(listOf(row), 6).right()),
+                listOf("all", "ok", "change", "ok")
+            ),
+            Case("away at first", listOf(away, snapshot), listOf("all", "returned", "ok")),
+            Case(
+                "away in between confirms nothing",
+                listOf(snapshot, away, away, nothing),
+                listOf("all", "ok", "returned", "ok")
+            ),
+            Case(
+                "lost history: the whole table is read again",
+                listOf(snapshot, forgotten, snapshot),
+                listOf("all", "ok", "all", "ok")
+            )
+        )
+        for (case in cases) assertThat(play(case), case.name).containsExactly(*case.seen.toTypedArray())
+    }
+
+    private fun play(case: Case): List<String> = runBlocking {
+        val seen = ArrayList<String>()
+        val feed = ScriptedFeed(case.answers)
+        val sink = RecordingSink(seen)
+        val follower = FeedFollower("t", feed, sink, SystemClock, SilentEventLog, waitMs = 10)
+        val run = launch { follower.run() }
+        feed.isOver.await()
+        run.cancel()
+        seen
+    }
+
+    private class ScriptedFeed(answers: List<Either<Failure, Any>>) : RowFeed {
+        val isOver = CompletableDeferred<Unit>()
+        private val left = ArrayDeque(answers)
+
+        override suspend fun read() = next<RowSnapshot>()
+
+        override suspend fun changes(revision: Long, waitMs: Long) = next<RowChanges>()
+
+        @Suppress("UNCHECKED_CAST")
+        private suspend fun <T> next(): Either<Failure, T> {
+            val answer = left.removeFirstOrNull()
+            if (answer == null) {
+                isOver.complete(Unit)
+                CompletableDeferred<Unit>().await()
+            }
+            return answer as Either<Failure, T>
+        }
+    }
+
+    private class RecordingSink(private val seen: MutableList<String>) : FeedSink {
+        override fun replace(rows: List<FeedRow>): Boolean = seen.add("all")
+
+        override fun change(rows: List<FeedRow>): Boolean = seen.add("change")
+
+        override fun confirm(readStarted: Moment) {
+            seen += "ok"
+        }
+
+        override fun returned() {
+            seen += "returned"
+        }
+    }
+}
