--- a/core/serving/src/main/kotlin/org/hyssoprack/serving/limits/QuotaTolerance.kt
+++ b/core/serving/src/main/kotlin/org/hyssoprack/serving/limits/QuotaTolerance.kt
@@ -7,4 +7,8 @@
  * @property overage share of a quota that may be used beyond it.
  * @property slackTokens tokens that may be used beyond that.
  */
-data class QuotaTolerance(val windowMs: Long, val overage: Double = 0.0, val slackTokens: Double = 0.0)
+data class QuotaTolerance(
+    val windowMs: Long,
+    val overage: Double = 0.0,
+    val slackTokens: Double = 0.0
+)
--- a/core/serving/src/main/kotlin/org/hyssoprack/serving/placement/ServerChooser.kt
+++ b/core/serving/src/main/kotlin/org/hyssoprack/serving/placement/ServerChooser.kt
@@ -36,8 +36,9 @@
         val work = demand.work
         val sound = present.filter { !it.isSuspect }
         val bestFirst = sound.minOfOrNull { idleFirstMs(it, work, typical) } ?: Double.MAX_VALUE
-        val bestWhole = sound.minOfOrNull { idleFirstMs(it, work, typical) + restMs(it, work, typical) }
-            ?: Double.MAX_VALUE
+        val bestWhole =
+            sound.minOfOrNull { idleFirstMs(it, work, typical) + restMs(it, work, typical) }
+                ?: Double.MAX_VALUE
         val canBeInTime = bestFirst <= demand.targetLeftMs
         val firstMs = if (canBeInTime) demand.targetLeftMs else demand.patienceLeftMs
         return Limits(
--- a/core/serving/src/main/kotlin/org/hyssoprack/serving/settings/Moment.kt
+++ b/core/serving/src/main/kotlin/org/hyssoprack/serving/settings/Moment.kt
@@ -8,8 +8,7 @@
  */
 data class Moment(val monotonicMs: Long, val epochMs: Long) {
     /** Time passed since this moment by the clock that says more, in milliseconds. */
-    fun ageMs(clock: Clock): Long =
-        maxOf(clock.nowMs() - monotonicMs, clock.epochMs() - epochMs, 0)
+    fun ageMs(clock: Clock): Long = maxOf(clock.nowMs() - monotonicMs, clock.epochMs() - epochMs, 0)
 
     companion object {
         fun now(clock: Clock) = Moment(monotonicMs = clock.nowMs(), epochMs = clock.epochMs())
--- a/core/serving/src/test/kotlin/org/hyssoprack/serving/limits/QuotaLedgerTest.kt
+++ b/core/serving/src/test/kotlin/org/hyssoprack/serving/limits/QuotaLedgerTest.kt
@@ -116,7 +116,9 @@
 
     /** Hosts that hear of each other with a lag keep the sum of any window within the tolerance. */
     @Property(tries = 60)
-    fun `several hosts together stay within the quota`(@ForAll @LongRange(max = 1L shl 40) seed: Long) {
+    fun `several hosts together stay within the quota`(
+        @ForAll @LongRange(max = 1L shl 40) seed: Long
+    ) {
         val random = Random(seed)
         val clock = ManualClock(100_000)
         val hosts = List(HOSTS) { QuotaLedger(clock, tolerance) { 1.0 } }
--- a/core/serving/src/test/kotlin/org/hyssoprack/serving/limits/RepeatBudgetTest.kt
+++ b/core/serving/src/test/kotlin/org/hyssoprack/serving/limits/RepeatBudgetTest.kt
@@ -12,7 +12,13 @@
 
     @Example
     fun `repeats stay within the ratio and an even share of the slack`() {
-        class Case(val name: String, val requests: Int, val hosts: Int, val least: Int, val most: Int)
+        class Case(
+            val name: String,
+            val requests: Int,
+            val hosts: Int,
+            val least: Int,
+            val most: Int
+        )
         val cases = listOf(
             Case("no requests, alone", requests = 0, hosts = 1, least = 30, most = 58),
             Case("no requests, nine hosts", requests = 0, hosts = 9, least = 3, most = 6),
--- a/core/serving/src/test/kotlin/org/hyssoprack/serving/placement/ServerChooserTest.kt
+++ b/core/serving/src/test/kotlin/org/hyssoprack/serving/placement/ServerChooserTest.kt
@@ -25,31 +25,31 @@
         patienceLeftMs = 3_200
     )
 
-    private fun state(
-        id: String,
-        slots: Int = 2,
-        leaving: Boolean = false,
-        memory: Long = 10_000
-    ) = ServerState(
-        server = RegisteredServer(
-            id = BackendServerId(id),
-            service = ServiceId("s"),
-            address = NetworkAddress("10.0.0.1", 80),
-            domain = FailureDomain("d0"),
-            slots = slots,
-            isLeaving = leaving
-        ),
-        clock = clock,
-        memoryTokens = memory
-    )
+    private fun state(id: String, slots: Int = 2, leaving: Boolean = false, memory: Long = 10_000) =
+        ServerState(
+            server = RegisteredServer(
+                id = BackendServerId(id),
+                service = ServiceId("s"),
+                address = NetworkAddress("10.0.0.1", 80),
+                domain = FailureDomain("d0"),
+                slots = slots,
+                isLeaving = leaving
+            ),
+            clock = clock,
+            memoryTokens = memory
+        )
 
     private fun choose(vararg states: ServerState) =
         chooser.choose(states.toList(), demand)?.server?.id?.value
 
     @Example
     fun `the server that is expected to answer first is chosen`() {
-        val slow = state("slow", memory = 50_000).also { s -> repeat(5) { s.speed.prompt(1_000, 72) } }
-        val fast = state("fast", memory = 50_000).also { s -> repeat(5) { s.speed.prompt(1_000, 22) } }
+        val slow = state("slow", memory = 50_000).also { s ->
+            repeat(5) { s.speed.prompt(1_000, 72) }
+        }
+        val fast = state("fast", memory = 50_000).also { s ->
+            repeat(5) { s.speed.prompt(1_000, 22) }
+        }
         assertThat(choose(slow, fast)).isEqualTo("fast")
         fast.dispatched(Work(promptTokens = 3_000))
         assertThat(choose(slow, fast)).isEqualTo("fast")
--- a/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/CallProgress.kt
+++ b/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/CallProgress.kt
@@ -7,6 +7,9 @@
     /** Servers that were tried, in their order. */
     val tried = LinkedHashSet<BackendServerId>()
 
+    /** Servers that were chosen, one that was chosen twice counted twice. */
+    var tries = 0
+
     /** Sends that reached a server. */
     var arrivals = 0
 
--- a/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/FeedFollower.kt
+++ b/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/FeedFollower.kt
@@ -67,7 +67,12 @@
         }
         failures++
         if (failures == 1) {
-            log.event("store-lost", "table" eq name, "code" eq failure.code.number, "detail" eq failure.detail)
+            log.event(
+                "store-lost",
+                "table" eq name,
+                "code" eq failure.code.number,
+                "detail" eq failure.detail
+            )
         }
         delay(minOf(FIRST_DELAY_MS shl minOf(failures - 1, MAX_DOUBLINGS), MAX_DELAY_MS))
     }
--- a/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/RequestForwarder.kt
+++ b/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/RequestForwarder.kt
@@ -90,6 +90,7 @@
             call = checked
             if (progress.grantedMs == null) progress.grantedMs = clock.nowMs()
             progress.tried += state.server.id
+            progress.tries++
             val end = attempt(request, call, state, progress, relay).run()
             pools[call.service].pump()
             return endOf(end, call, progress) ?: continue
@@ -128,7 +129,7 @@
         call: AdmittedCall,
         progress: CallProgress
     ): CallEnd? {
-        val isAllowed = progress.tried.size < MAX_TRIES && (!end.arrived || takeRepeat(call))
+        val isAllowed = progress.tries < MAX_TRIES && (!end.arrived || takeRepeat(call))
         if (isAllowed) return null
         if (progress.runs > 0) return CallEnd.Failed(broken(end.reason))
         return CallEnd.Failed(Failure(ResultCode.BACKEND_REFUSED, end.reason, REFUSED_RETRY_MS))
@@ -228,7 +229,13 @@
 
     private fun callerLeft(progress: CallProgress): CallEnd = CallEnd.Failed(
         Failure(
-            code = if (progress.runs == 0) ResultCode.CALLER_LEFT else ResultCode.CALLER_LEFT_RUNNING,
+            code = if (progress.runs ==
+                0
+            ) {
+                ResultCode.CALLER_LEFT
+            } else {
+                ResultCode.CALLER_LEFT_RUNNING
+            },
             detail = "The caller closed the connection."
         )
     )
--- a/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/ServerPool.kt
+++ b/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/ServerPool.kt
@@ -28,7 +28,8 @@
 ) {
     private val states = LinkedHashMap<BackendServerId, ServerState>()
     private val queue = DispatchQueue()
-    private val waiting = HashMap<QueuedRequest, CompletableDeferred<Either<Failure, ServerState>>>()
+    private val waiting =
+        HashMap<QueuedRequest, CompletableDeferred<Either<Failure, ServerState>>>()
     private val granted = WindowCount(RATE_WINDOW_MS)
 
     /** What this host knows of each server. */
--- a/gateway/forwarding/src/test/kotlin/org/hyssoprack/gateway/forwarding/EventSplitterTest.kt
+++ b/gateway/forwarding/src/test/kotlin/org/hyssoprack/gateway/forwarding/EventSplitterTest.kt
@@ -42,13 +42,17 @@
         @ForAll @LongRange(max = 1L shl 40) seed: Long
     ) {
         val random = Random(seed)
-        val text = (1..20).joinToString("") { "id: $it\ndata: ${"x".repeat(random.nextInt(9))}\n\n" }
+        val text = (1..20).joinToString("") {
+            "id: $it\ndata: ${"x".repeat(random.nextInt(9))}\n\n"
+        }
         val splitter = EventSplitter()
         val passed = StringBuilder()
         var at = 0
         while (at < text.length) {
             val end = minOf(text.length, at + random.nextInt(1, 30))
-            passed.append(splitter.add(text.substring(at, end).encodeToByteArray()).decodeToString())
+            passed.append(
+                splitter.add(text.substring(at, end).encodeToByteArray()).decodeToString()
+            )
             at = end
         }
         assertThat(passed.toString()).isEqualTo(text)
--- a/gateway/forwarding/src/test/kotlin/org/hyssoprack/gateway/forwarding/FeedFollowerTest.kt
+++ b/gateway/forwarding/src/test/kotlin/org/hyssoprack/gateway/forwarding/FeedFollowerTest.kt
@@ -53,7 +53,12 @@
                 listOf("all", "ok", "all", "ok")
             )
         )
-        for (case in cases) assertThat(play(case), case.name).containsExactly(*case.seen.toTypedArray())
+        for (case in cases) {
+            assertThat(
+                play(case),
+                case.name
+            ).containsExactly(*case.seen.toTypedArray())
+        }
     }
 
     private fun play(case: Case): List<String> = runBlocking {
--- a/gateway/netty/src/main/kotlin/org/hyssoprack/gateway/netty/CallerConnection.kt
+++ b/gateway/netty/src/main/kotlin/org/hyssoprack/gateway/netty/CallerConnection.kt
@@ -137,11 +137,12 @@
         val request = pipelined.removeFirstOrNull() ?: return waitForRequest()
         val channel = context?.channel() ?: return
         channel.config().isAutoRead = true
-        val closes = isDraining() || request.headers.containsValue(
-            HttpHeaderNames.CONNECTION,
-            HttpHeaderValues.CLOSE,
-            true
-        )
+        val closes = isDraining() ||
+            request.headers.containsValue(
+                HttpHeaderNames.CONNECTION,
+                HttpHeaderValues.CLOSE,
+                true
+            )
         val answer = ChannelAnswerWriter(channel, closes = { closes || isDraining() })
         writer = answer
         serving = scope.launch {
--- a/gateway/netty/src/main/kotlin/org/hyssoprack/gateway/netty/NettyServerConnections.kt
+++ b/gateway/netty/src/main/kotlin/org/hyssoprack/gateway/netty/NettyServerConnections.kt
@@ -19,10 +19,8 @@
 import org.hyssoprack.gateway.ServerConnections
 
 /** Keeps idle connections by address; the one used last is used first. */
-class NettyServerConnections(
-    private val loop: HostLoop,
-    private val clock: Clock = SystemClock
-) : ServerConnections {
+class NettyServerConnections(private val loop: HostLoop, private val clock: Clock = SystemClock) :
+    ServerConnections {
     private val idle = HashMap<NetworkAddress, ArrayDeque<IdleConnection>>()
 
     private class IdleConnection(val connection: NettyServerConnection, val untilMs: Long)
--- a/gateway/netty/src/main/kotlin/org/hyssoprack/gateway/netty/StrictRequestDecoder.kt
+++ b/gateway/netty/src/main/kotlin/org/hyssoprack/gateway/netty/StrictRequestDecoder.kt
@@ -15,9 +15,8 @@
             .setMaxHeaderSize(maxHeaderBytes)
             .setMaxChunkSize(MAX_CHUNK_BYTES)
     ) {
-    override fun handleTransferEncodingChunkedWithContentLength(message: HttpMessage) {
+    override fun handleTransferEncodingChunkedWithContentLength(message: HttpMessage): Unit =
         throw IllegalArgumentException("both a length and chunks")
-    }
 
     private companion object {
         const val MAX_CHUNK_BYTES = 65_536
--- a/gateway/netty/src/test/kotlin/org/hyssoprack/gateway/netty/CallerServerTest.kt
+++ b/gateway/netty/src/test/kotlin/org/hyssoprack/gateway/netty/CallerServerTest.kt
@@ -65,7 +65,12 @@
         val cases = listOf(
             Case("a proper request", "GET /a HTTP/1.1\r\nHost: h\r\n\r\n", 200, 1),
             Case("a long header", "GET / HTTP/1.1\r\nHost: h\r\nP: $long\r\n\r\n", 200, 1),
-            Case("a header over the limit", "GET / HTTP/1.1\r\nHost: h\r\nP: $tooLong\r\n\r\n", 431, 0),
+            Case(
+                "a header over the limit",
+                "GET / HTTP/1.1\r\nHost: h\r\nP: $tooLong\r\n\r\n",
+                431,
+                0
+            ),
             Case(
                 "many headers over the limit",
                 "GET / HTTP/1.1\r\nHost: h\r\n" + "a: b\r\n".repeat(5_000) + "\r\n",
@@ -74,7 +79,8 @@
             ),
             Case(
                 "a request inside another",
-                "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n" +
+                "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n" +
+                    "Transfer-Encoding: chunked\r\n\r\n" +
                     "0\r\n\r\nGET /smuggled HTTP/1.1\r\nHost: h\r\n\r\n",
                 400,
                 0
@@ -85,7 +91,12 @@
                 400,
                 0
             ),
-            Case("a body over the limit", "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 100001\r\n\r\n", 413, 0),
+            Case(
+                "a body over the limit",
+                "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 100001\r\n\r\n",
+                413,
+                0
+            ),
             Case("no host", "GET / HTTP/1.1\r\n\r\n", 400, 0),
             Case("two hosts", "GET / HTTP/1.1\r\nHost: a\r\nHost: b\r\n\r\n", 400, 0),
             Case("garbage", "\u0001\u0002\r\n\r\n", 400, 0),
