Replace the case of control characters by what the decoder does with them, and add one of plain garbage

Cause: the decoder skips control characters before a request, so no head ever comes and 408 is the true answer, where the test expected 400. The case stays with 408, and a line that is no request must get 400.

--- a/gateway/netty/src/test/kotlin/org/hyssoprack/gateway/netty/CallerServerTest.kt
+++ b/gateway/netty/src/test/kotlin/org/hyssoprack/gateway/netty/CallerServerTest.kt
@@ -99,7 +99,8 @@
             ),
             Case("no host", "GET / HTTP/1.1\r\n\r\n", 400, 0),
             Case("two hosts", "GET / HTTP/1.1\r\nHost: a\r\nHost: b\r\n\r\n", 400, 0),
-            Case("garbage", "\u0001\u0002\r\n\r\n", 400, 0),
+            Case("garbage", "garbage\r\n\r\n", 400, 0),
+            Case("control characters, after which no head comes", "\u0001\u0002\r\n", 408, 0),
             Case(
                 "a bad chunk size",
                 "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\nab\r\n",
