--- a/core/serving/src/main/kotlin/org/hyssoprack/serving/placement/ServerChooser.kt
+++ b/core/serving/src/main/kotlin/org/hyssoprack/serving/placement/ServerChooser.kt
@@ -111,7 +111,11 @@
 
         // A slot that is held for long is missing to other requests.
         const val HOLD_WEIGHT = 0.05
+
+        // Requests that run beside each other slow each other down.
         const val FULL_COST_MS = 20.0
+
+        // The way to another failure domain and back.
         const val FAR_MS = 2.0
         const val JITTER = 0.2
     }
--- a/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/AdmittedCall.kt
+++ b/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/AdmittedCall.kt
@@ -24,6 +24,6 @@
     val arrivedMs: Long,
     val endMs: Long
 ) {
-    /** Tenants' ranks go before routes' ranks. */
+    /** The account's rank, where it has one, goes before the route's. */
     val rank: Int get() = account?.rank ?: route.rank
 }
