--- a/testing/standins/src/main/kotlin/org/hyssoprack/standins/hostlist/HostListMain.kt
+++ b/testing/standins/src/main/kotlin/org/hyssoprack/standins/hostlist/HostListMain.kt
@@ -6,9 +6,9 @@
 import kotlinx.cli.ArgType
 import kotlinx.cli.default
 import kotlinx.cli.required
-import org.hyssoprack.store.BackendServer
 import org.hyssoprack.standins.platform.StandInJson
 import org.hyssoprack.standins.platform.serve
+import org.hyssoprack.store.BackendServer
 
 /** Stand-in for the platform's lagging host list. */
 fun main(args: Array<String>) {
--- a/testing/standins/src/main/kotlin/org/hyssoprack/standins/hostlist/HostListRoutes.kt
+++ b/testing/standins/src/main/kotlin/org/hyssoprack/standins/hostlist/HostListRoutes.kt
@@ -6,13 +6,13 @@
 import io.ktor.server.routing.post
 import io.ktor.server.routing.put
 import kotlinx.serialization.builtins.ListSerializer
-import org.hyssoprack.store.BackendServer
-import org.hyssoprack.store.http.PlatformPath
 import org.hyssoprack.standins.platform.Outage
 import org.hyssoprack.standins.platform.hang
 import org.hyssoprack.standins.platform.receiveJson
 import org.hyssoprack.standins.platform.respondJson
 import org.hyssoprack.standins.platform.respondUnavailable
+import org.hyssoprack.store.BackendServer
+import org.hyssoprack.store.http.PlatformPath
 
 /** HTTP routes of the host list. */
 internal class HostListRoutes(private val list: LaggingList) {
--- a/testing/standins/src/main/kotlin/org/hyssoprack/standins/objects/ObjectRoutes.kt
+++ b/testing/standins/src/main/kotlin/org/hyssoprack/standins/objects/ObjectRoutes.kt
@@ -12,11 +12,11 @@
 import java.security.MessageDigest
 import java.util.concurrent.ConcurrentHashMap
 import kotlinx.coroutines.delay
-import org.hyssoprack.store.http.PlatformPath
 import org.hyssoprack.standins.platform.Outage
 import org.hyssoprack.standins.platform.hang
 import org.hyssoprack.standins.platform.receiveJson
 import org.hyssoprack.standins.platform.respondUnavailable
+import org.hyssoprack.store.http.PlatformPath
 
 /** HTTP routes of the object store: bodies are stored under their SHA-256 hash. */
 internal class ObjectRoutes {
--- a/testing/standins/src/main/kotlin/org/hyssoprack/standins/table/TableRoutes.kt
+++ b/testing/standins/src/main/kotlin/org/hyssoprack/standins/table/TableRoutes.kt
@@ -10,11 +10,6 @@
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
 import kotlinx.serialization.builtins.ListSerializer
-import org.hyssoprack.store.http.PlatformPath
-import org.hyssoprack.store.http.RowReply
-import org.hyssoprack.store.http.RowsReply
-import org.hyssoprack.store.http.ScanRequest
-import org.hyssoprack.store.http.TableWrite
 import org.hyssoprack.standins.platform.Outage
 import org.hyssoprack.standins.platform.RateLimit
 import org.hyssoprack.standins.platform.hang
@@ -22,6 +17,11 @@
 import org.hyssoprack.standins.platform.respondJson
 import org.hyssoprack.standins.platform.respondLimited
 import org.hyssoprack.standins.platform.respondUnavailable
+import org.hyssoprack.store.http.PlatformPath
+import org.hyssoprack.store.http.RowReply
+import org.hyssoprack.store.http.RowsReply
+import org.hyssoprack.store.http.ScanRequest
+import org.hyssoprack.store.http.TableWrite
 
 /** HTTP routes of the table service; [scope] carries writes that take effect late. */
 internal class TableRoutes(private val scope: CoroutineScope) {
--- a/testing/standins/src/main/kotlin/org/hyssoprack/standins/weights/WeightRoutes.kt
+++ b/testing/standins/src/main/kotlin/org/hyssoprack/standins/weights/WeightRoutes.kt
@@ -9,8 +9,6 @@
 import java.util.concurrent.ConcurrentHashMap
 import kotlinx.serialization.builtins.ListSerializer
 import org.hyssoprack.common.ModelId
-import org.hyssoprack.store.ModelVersion
-import org.hyssoprack.store.http.PlatformPath
 import org.hyssoprack.standins.platform.Outage
 import org.hyssoprack.standins.platform.RateLimit
 import org.hyssoprack.standins.platform.hang
@@ -18,6 +16,8 @@
 import org.hyssoprack.standins.platform.respondJson
 import org.hyssoprack.standins.platform.respondLimited
 import org.hyssoprack.standins.platform.respondUnavailable
+import org.hyssoprack.store.ModelVersion
+import org.hyssoprack.store.http.PlatformPath
 
 /** HTTP routes of the weight store. A model that was never set has the one version `1`. */
 internal class WeightRoutes(perSecond: Int) {
--- a/testing/standins/src/test/kotlin/org/hyssoprack/standins/platform/PlatformClientsTest.kt
+++ b/testing/standins/src/test/kotlin/org/hyssoprack/standins/platform/PlatformClientsTest.kt
@@ -15,16 +15,16 @@
 import org.hyssoprack.common.ModelId
 import org.hyssoprack.common.NetworkAddress
 import org.hyssoprack.common.ResultCode
+import org.hyssoprack.standins.hostlist.HostListRoutes
+import org.hyssoprack.standins.hostlist.LaggingList
+import org.hyssoprack.standins.objects.ObjectRoutes
+import org.hyssoprack.standins.weights.WeightRoutes
 import org.hyssoprack.store.BackendServer
 import org.hyssoprack.store.BackendServerKind
 import org.hyssoprack.store.http.HttpHostList
 import org.hyssoprack.store.http.HttpObjectStore
 import org.hyssoprack.store.http.HttpWeightStore
 import org.hyssoprack.store.http.StoreConnection
-import org.hyssoprack.standins.hostlist.HostListRoutes
-import org.hyssoprack.standins.hostlist.LaggingList
-import org.hyssoprack.standins.objects.ObjectRoutes
-import org.hyssoprack.standins.weights.WeightRoutes
 
 class PlatformClientsTest {
     private val server = BackendServer(
--- a/testing/standins/src/test/kotlin/org/hyssoprack/standins/table/TableClientTest.kt
+++ b/testing/standins/src/test/kotlin/org/hyssoprack/standins/table/TableClientTest.kt
@@ -12,14 +12,14 @@
 import kotlinx.coroutines.runBlocking
 import kotlinx.coroutines.withTimeout
 import net.jqwik.api.Example
+import org.hyssoprack.standins.platform.Outage
+import org.hyssoprack.standins.platform.freeAddress
+import org.hyssoprack.standins.platform.serve
 import org.hyssoprack.store.RowKey
 import org.hyssoprack.store.WriteResult
 import org.hyssoprack.store.http.HttpTableService
 import org.hyssoprack.store.http.PlatformSettings
 import org.hyssoprack.store.http.StoreConnection
-import org.hyssoprack.standins.platform.Outage
-import org.hyssoprack.standins.platform.freeAddress
-import org.hyssoprack.standins.platform.serve
 
 class TableClientTest {
     private data class Case(
