--- a/backend/http/src/test/kotlin/org/hyssoprack/backend/http/EngineFixture.kt
+++ b/backend/http/src/test/kotlin/org/hyssoprack/backend/http/EngineFixture.kt
@@ -10,11 +10,11 @@
 import org.hyssoprack.common.ModelId
 import org.hyssoprack.common.NetworkAddress
 import org.hyssoprack.common.RequestId
-import org.hyssoprack.store.BackendServer
-import org.hyssoprack.store.BackendServerKind
 import org.hyssoprack.standins.engine.EngineFaults
 import org.hyssoprack.standins.engine.EngineServer
 import org.hyssoprack.standins.engine.EngineSettings
+import org.hyssoprack.store.BackendServer
+import org.hyssoprack.store.BackendServerKind
 
 /** An emulated engine in this process and a client for it. */
 internal class EngineFixture(slots: Int = 8, graceMs: Long = 2_000) : AutoCloseable {
--- a/backend/http/src/test/kotlin/org/hyssoprack/backend/http/HttpServiceClientTest.kt
+++ b/backend/http/src/test/kotlin/org/hyssoprack/backend/http/HttpServiceClientTest.kt
@@ -13,10 +13,10 @@
 import org.hyssoprack.common.Outcome
 import org.hyssoprack.common.RequestId
 import org.hyssoprack.common.ResultCode
-import org.hyssoprack.store.BackendServer
 import org.hyssoprack.standins.service.ServiceFaults
 import org.hyssoprack.standins.service.ServiceServer
 import org.hyssoprack.standins.service.ServiceSettings
+import org.hyssoprack.store.BackendServer
 
 class HttpServiceClientTest {
     @Example
--- a/bench/src/main/kotlin/org/hyssoprack/bench/deployment/Deployment.kt
+++ b/bench/src/main/kotlin/org/hyssoprack/bench/deployment/Deployment.kt
@@ -4,9 +4,9 @@
 import kotlin.io.path.createDirectories
 import org.hyssoprack.bench.load.CallerTarget
 import org.hyssoprack.burn.BurnReport
-import org.hyssoprack.store.BackendServer
 import org.hyssoprack.standins.engine.EngineFaults
 import org.hyssoprack.standins.engine.EngineSettings
+import org.hyssoprack.store.BackendServer
 
 /**
  * Everything that an experiment needs, as processes on loopback: emulated engines, the platform's
--- a/bench/src/main/kotlin/org/hyssoprack/bench/deployment/EngineFleet.kt
+++ b/bench/src/main/kotlin/org/hyssoprack/bench/deployment/EngineFleet.kt
@@ -5,9 +5,9 @@
 import kotlinx.serialization.json.Json
 import org.hyssoprack.common.FailureDomain
 import org.hyssoprack.common.NetworkAddress
+import org.hyssoprack.standins.engine.EngineSettings
 import org.hyssoprack.store.BackendServer
 import org.hyssoprack.store.BackendServerKind
-import org.hyssoprack.standins.engine.EngineSettings
 
 /** Emulated engines, one process each. */
 internal class EngineFleet(private val directory: Path, engines: List<EngineSettings>) :
--- a/host/src/main/kotlin/org/hyssoprack/host/FleetBuilder.kt
+++ b/host/src/main/kotlin/org/hyssoprack/host/FleetBuilder.kt
@@ -3,12 +3,12 @@
 import org.hyssoprack.common.BackendServerId
 import org.hyssoprack.membership.MemberView
 import org.hyssoprack.membership.Ownership
-import org.hyssoprack.store.BackendServer
-import org.hyssoprack.store.BackendServerState
 import org.hyssoprack.policy.CompiledPolicy
 import org.hyssoprack.policy.Pool
 import org.hyssoprack.scheduling.Fleet
 import org.hyssoprack.scheduling.FleetServer
+import org.hyssoprack.store.BackendServer
+import org.hyssoprack.store.BackendServerState
 
 /** Joins the host list, the members and the policy to the fleet that the schedulers work on. */
 class FleetBuilder(private val ownership: Ownership) {
--- a/host/src/main/kotlin/org/hyssoprack/host/FleetTask.kt
+++ b/host/src/main/kotlin/org/hyssoprack/host/FleetTask.kt
@@ -14,11 +14,11 @@
 import org.hyssoprack.common.eq
 import org.hyssoprack.membership.MemberView
 import org.hyssoprack.membership.Membership
-import org.hyssoprack.store.BackendServer
-import org.hyssoprack.store.HostList
 import org.hyssoprack.scheduling.Fleet
 import org.hyssoprack.settings.ActiveBundle
 import org.hyssoprack.settings.BundleHolder
+import org.hyssoprack.store.BackendServer
+import org.hyssoprack.store.HostList
 
 /**
  * Keeps the fleet up to date: polls the host list and follows the members and the bundle. While the
--- a/host/src/main/kotlin/org/hyssoprack/host/RequestService.kt
+++ b/host/src/main/kotlin/org/hyssoprack/host/RequestService.kt
@@ -19,8 +19,8 @@
 import org.hyssoprack.common.RequestId
 import org.hyssoprack.common.ResultCode
 import org.hyssoprack.common.eq
-import org.hyssoprack.store.BackendServer
 import org.hyssoprack.scheduling.FinishReport
+import org.hyssoprack.store.BackendServer
 
 /** Serves admitted requests from arrival to answer. Each runs in the coroutine of its caller. */
 class RequestService(
--- a/host/src/test/kotlin/org/hyssoprack/host/CompletionRunTest.kt
+++ b/host/src/test/kotlin/org/hyssoprack/host/CompletionRunTest.kt
@@ -24,13 +24,13 @@
 import org.hyssoprack.common.SystemClock
 import org.hyssoprack.common.TierName
 import org.hyssoprack.common.TierRank
-import org.hyssoprack.store.BackendServer
-import org.hyssoprack.store.BackendServerKind
 import org.hyssoprack.policy.Pool
 import org.hyssoprack.policy.Route
 import org.hyssoprack.policy.Tier
 import org.hyssoprack.scheduling.EntryOutput
 import org.hyssoprack.scheduling.WaitingRequest
+import org.hyssoprack.store.BackendServer
+import org.hyssoprack.store.BackendServerKind
 
 class CompletionRunTest {
     private class Case(
--- a/host/src/test/kotlin/org/hyssoprack/host/FleetBuilderTest.kt
+++ b/host/src/test/kotlin/org/hyssoprack/host/FleetBuilderTest.kt
@@ -14,12 +14,12 @@
 import org.hyssoprack.common.TierRank
 import org.hyssoprack.membership.MemberView
 import org.hyssoprack.membership.Ownership
-import org.hyssoprack.store.BackendServer
-import org.hyssoprack.store.BackendServerKind
-import org.hyssoprack.store.BackendServerState
 import org.hyssoprack.policy.CompiledPolicy
 import org.hyssoprack.policy.Pool
 import org.hyssoprack.policy.Tier
+import org.hyssoprack.store.BackendServer
+import org.hyssoprack.store.BackendServerKind
+import org.hyssoprack.store.BackendServerState
 
 class FleetBuilderTest {
     private val tiers = listOf(Tier(TierName("top"), TierRank(0), objective = 0.99))
--- a/testing/integration/src/main/kotlin/org/hyssoprack/integration/deployment/BackendsUnderTest.kt
+++ b/testing/integration/src/main/kotlin/org/hyssoprack/integration/deployment/BackendsUnderTest.kt
@@ -9,11 +9,11 @@
 import org.hyssoprack.common.NetworkAddress
 import org.hyssoprack.common.ServiceId
 import org.hyssoprack.faultproxy.ListenerSettings
+import org.hyssoprack.standins.engine.EngineFaults
+import org.hyssoprack.standins.service.ServiceFaults
 import org.hyssoprack.store.BackendServer
 import org.hyssoprack.store.BackendServerKind
 import org.hyssoprack.store.BackendServerState
-import org.hyssoprack.standins.engine.EngineFaults
-import org.hyssoprack.standins.service.ServiceFaults
 
 /** Emulated engines `e1`… and plain services `s1`…, each a process behind the fault proxy. */
 class BackendsUnderTest internal constructor(
--- a/testing/integration/src/main/kotlin/org/hyssoprack/integration/deployment/PlatformUnderTest.kt
+++ b/testing/integration/src/main/kotlin/org/hyssoprack/integration/deployment/PlatformUnderTest.kt
@@ -4,12 +4,12 @@
 import kotlin.io.path.writeText
 import kotlinx.serialization.encodeToString
 import kotlinx.serialization.json.Json
-import org.hyssoprack.store.BackendServer
 import org.hyssoprack.standins.hostlist.HostListFaults
 import org.hyssoprack.standins.objects.ObjectFaults
 import org.hyssoprack.standins.table.TableFaults
 import org.hyssoprack.standins.table.WriteRecord
 import org.hyssoprack.standins.weights.WeightFaults
+import org.hyssoprack.store.BackendServer
 
 /** The four stand-ins of the platform, each a process. */
 class PlatformUnderTest internal constructor(
