Honour what servers say of themselves in answers, and end bytes without end

A server that leaves says so in all its answers, also where the store does not say so yet, never does, or lists the same run again; one that is busy may ask a host for a pause. Until now both were ignored, and a server that sends bytes without end in a plain answer or in one event was read into memory without a bound.

Change: runs that said that they leave are kept by id, address and time of birth and get nothing more; the other hosts are told. A 503 with Retry-After closes the server for this host for that time (600 s at most, unreadable values are logged and passed over); what cannot wait so long is refused with a time that fits. A plain answer is bounded by 4 MiB, an event by 1 MiB, interim answers by 8, and a stream without a whole event by the callers' patience.

--- a/core/serving/src/main/kotlin/org/hyssoprack/serving/fleet/RegisteredServer.kt
+++ b/core/serving/src/main/kotlin/org/hyssoprack/serving/fleet/RegisteredServer.kt
@@ -21,7 +21,9 @@
     val isLeaving: Boolean = false,
     val bornMs: Long? = null
 ) {
+    /** The run of the server that wrote the entry. */
+    val run: ServerRun get() = ServerRun(id = id, address = address, bornMs = bornMs)
+
     /** Whether [other] is the same run of the same server. */
-    fun isSameRun(other: RegisteredServer): Boolean =
-        id == other.id && address == other.address && bornMs == other.bornMs
+    fun isSameRun(other: RegisteredServer): Boolean = run == other.run
 }
--- a/core/serving/src/main/kotlin/org/hyssoprack/serving/placement/ServerState.kt
+++ b/core/serving/src/main/kotlin/org/hyssoprack/serving/placement/ServerState.kt
@@ -22,6 +22,7 @@
     private var reportedOthers = 0
     private var reportedMs = Long.MIN_VALUE / 2
     private var fullUntilMs = Long.MIN_VALUE
+    private var closedUntilMs = Long.MIN_VALUE
 
     /** What this host has in progress there. */
     val ownLoad: PeerLoad get() = own
@@ -57,7 +58,12 @@
     /** Whether the server has a free slot and memory for [work]. */
     fun hasRoom(work: Work): Boolean {
         val load = load
-        if (load.running >= server.slots || clock.nowMs() < fullUntilMs) return false
+        val nowMs = clock.nowMs()
+        if (load.running >= server.slots || nowMs < fullUntilMs ||
+            nowMs < closedUntilMs
+        ) {
+            return false
+        }
         val memory = memoryTokens ?: return true
         return load.running == 0 || load.tokens + work.tokens <= memory * MEMORY_SHARE
     }
@@ -95,6 +101,14 @@
         fullUntilMs = clock.nowMs() + FULL_MS
     }
 
+    /** The server asked this host to send nothing for [ms]. */
+    fun closedFor(ms: Long) {
+        closedUntilMs = maxOf(closedUntilMs, clock.nowMs() + ms)
+    }
+
+    /** Time for which this host must send nothing, in milliseconds; 0 if it may. */
+    val closedMs: Long get() = (closedUntilMs - clock.nowMs()).coerceAtLeast(0)
+
     private companion object {
         // Room for the tokens of requests that run longer than expected.
         const val MEMORY_SHARE = 0.9
--- a/gateway/api/src/main/kotlin/org/hyssoprack/gateway/AnswerFacts.kt
+++ b/gateway/api/src/main/kotlin/org/hyssoprack/gateway/AnswerFacts.kt
@@ -11,6 +11,9 @@
  * @property isOtherServer whether another server has the address.
  * @property load what the server has in progress; null if it does not say.
  * @property idleTimeoutMs how long the server keeps an idle connection; null if it does not say.
+ * @property isLeaving whether the server ends soon and wants no new requests from anyone.
+ * @property closedMs how long the server wants no requests from this host; null if it does not say.
+ * @property unreadable a header whose value cannot be read and was passed over, for the log.
  */
 data class AnswerFacts(
     val requestId: String?,
@@ -18,5 +21,8 @@
     val isNotRun: Boolean,
     val isOtherServer: Boolean,
     val load: ReportedLoad? = null,
-    val idleTimeoutMs: Long? = null
+    val idleTimeoutMs: Long? = null,
+    val isLeaving: Boolean = false,
+    val closedMs: Long? = null,
+    val unreadable: String? = null
 )
--- a/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/EventSplitter.kt
+++ b/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/EventSplitter.kt
@@ -13,8 +13,11 @@
     var lastEventId: String? = null
         private set
 
+    /** Size of the event that has begun and not ended, in bytes. */
+    val pendingBytes: Int get() = pending.size()
+
     /** Whether an event has begun and not ended. */
-    val hasPartialEvent: Boolean get() = pending.size() > 0
+    val hasPartialEvent: Boolean get() = pendingBytes > 0
 
     /** Takes [bytes] in and returns the whole events so far; empty if none has ended. */
     fun add(bytes: ByteArray): ByteArray {
--- a/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/PeerExchange.kt
+++ b/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/PeerExchange.kt
@@ -31,11 +31,16 @@
     fun receive(from: HostRef, digest: ServingDigest) {
         heard[from.host] = HeardDigest(clock.nowMs(), digest)
         quotas().learn(from, digest.quotas)
+        digest.leaving.forEach { pools.markLeaving(it) }
     }
 
     /** Tells the peers, and forgets the load of those that are silent; called at intervals. */
     fun exchange() {
-        val digest = ServingDigest(quotas = quotas().totals(), loads = pools.ownLoads())
+        val digest = ServingDigest(
+            quotas = quotas().totals(),
+            loads = pools.ownLoads(),
+            leaving = pools.leaving
+        )
         view().live().map { it.ref.host }.filter { it != self.host }.forEach {
             link.send(it, digest)
         }
--- a/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/RequestForwarder.kt
+++ b/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/RequestForwarder.kt
@@ -5,6 +5,7 @@
 import kotlinx.coroutines.withTimeoutOrNull
 import org.hyssoprack.common.Clock
 import org.hyssoprack.common.ErrorBody
+import org.hyssoprack.common.EventLog
 import org.hyssoprack.common.Failure
 import org.hyssoprack.common.Outcome
 import org.hyssoprack.common.ResultCode
@@ -26,8 +27,11 @@
     private val repeats: RepeatBudget,
     private val journal: RequestJournal,
     private val clock: Clock,
+    log: EventLog,
     private val isRefusing: () -> Boolean = { false }
 ) : RequestHandler {
+    private val notices = ServerNotices(pools, log)
+
     /** Requests that are in progress. */
     var inProgress = 0
         private set
@@ -112,6 +116,7 @@
         state = state,
         progress = progress,
         relay = relay,
+        notices = notices,
         mayMove = { mayRunAgain(call, progress) && takeRepeat(call) }
     )
 
--- a/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/ServerAttempt.kt
+++ b/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/ServerAttempt.kt
@@ -20,6 +20,7 @@
 /**
  * One send of a request to one backend server, up to the end of its answer.
  *
+ * @param notices takes what the server says of itself.
  * @param mayMove asked when the server is silent: whether the request may go to another one.
  */
 internal class ServerAttempt(
@@ -31,6 +32,7 @@
     private val state: ServerState,
     private val progress: CallProgress,
     private val relay: StreamRelay,
+    private val notices: ServerNotices,
     private val mayMove: () -> Boolean
 ) {
     private val startMs = clock.nowMs()
@@ -38,6 +40,9 @@
     private var promptRead = false
     private var firstMs = 0L
 
+    /** When the answer last made progress: its head, a whole event, or a part of a plain body. */
+    private var progressMs = startMs
+
     /** Sends the request and relays the answer; the slot of [state] is given back at the end. */
     suspend fun run(): AttemptEnd {
         try {
@@ -98,6 +103,7 @@
             }
             val facts = wire.readAnswer(head)
             facts.load?.let { state.reported(it) }
+            if (!facts.isOtherServer) notices.take(state, facts)
             val isForeign = facts.requestId != null && facts.requestId != call.facts.id
             if (isForeign) continue
             return relayOwn(connection, head, facts)
@@ -153,6 +159,7 @@
                 is AnswerPart.Head -> return AttemptEnd.Broken("a second answer")
                 AnswerPart.End -> break
             }
+            streamFault()?.let { return AttemptEnd.Broken(it) }
         }
         if (!relay.isWhole) return AttemptEnd.Broken("ended within an event")
         connection.release(idleMs(facts))
@@ -162,7 +169,14 @@
 
     private suspend fun pass(bytes: ByteArray) {
         if (!promptRead) firstBytes()
-        relay.pass(bytes)
+        if (relay.pass(bytes)) progressMs = clock.nowMs()
+    }
+
+    /** Why a stream that still sends bytes is given up; null if it goes on. */
+    private fun streamFault(): String? = when {
+        relay.pendingBytes > MAX_EVENT_BYTES -> "an event without end"
+        clock.nowMs() - progressMs >= call.route.callerPatienceMs -> "no event in time"
+        else -> null
     }
 
     private fun firstBytes() {
@@ -179,7 +193,14 @@
         val body = ByteArrayOutputStream()
         while (true) {
             when (val part = nextPart(connection) ?: return AttemptEnd.Moved.left()) {
-                is AnswerPart.Body -> body.write(part.bytes)
+                is AnswerPart.Body -> {
+                    if (body.size() + part.bytes.size > MAX_ANSWER_BYTES) {
+                        return AttemptEnd.Broken("an answer without end").left()
+                    }
+                    body.write(part.bytes)
+                    progressMs = clock.nowMs()
+                }
+
                 is AnswerPart.Lost -> return AttemptEnd.Broken(part.reason).left()
                 is AnswerPart.Head -> return AttemptEnd.Broken("a second answer").left()
                 AnswerPart.End -> return body.toByteArray().right()
@@ -191,17 +212,21 @@
     private suspend fun nextPart(connection: ServerConnection): AnswerPart? {
         while (true) {
             val part = withTimeoutOrNull(SILENCE_MS) { connection.next() }
-            if (part != null) {
-                state.heard()
-                return part
-            }
-            if (isStuck() && mayMove()) return null
+            if (part != null) state.heard()
+            val isStalled = part is AnswerPart.Body && isWithoutProgress()
+            if ((part == null || isStalled) && isStuck() && mayMove()) return null
+            if (part != null) return part
         }
     }
 
     /** Whether nothing came for so long that another server is likely to be sooner. */
-    private fun isStuck(): Boolean =
-        state.isSuspect || (!promptRead && clock.nowMs() - startMs >= STUCK_MS)
+    private fun isStuck(): Boolean = state.isSuspect ||
+        isWithoutProgress() ||
+        (!promptRead && clock.nowMs() - startMs >= STUCK_MS)
+
+    /** Whether a stream has sent no whole event for long, whatever bytes it sends. */
+    private fun isWithoutProgress(): Boolean =
+        promptRead && relay.isStarted && clock.nowMs() - progressMs >= STUCK_MS
 
     private fun learn(end: AttemptEnd) {
         when (end) {
@@ -243,6 +268,11 @@
         // Longer than healthy servers take for the largest prompts.
         const val STUCK_MS = 2_000L
 
+        // Far more than one event or one plain answer holds; bounds the memory that a server that
+        // sends bytes without end can take.
+        const val MAX_EVENT_BYTES = 1_048_576
+        const val MAX_ANSWER_BYTES = 4_194_304
+
         // A request that is sent while the server closes the connection is in doubt.
         const val IDLE_MARGIN_MS = 800L
         const val DEFAULT_IDLE_MS = 3_000L
--- a/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/ServerPool.kt
+++ b/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/ServerPool.kt
@@ -65,6 +65,14 @@
         if (states.isEmpty()) {
             return refusal(request, ResultCode.NO_BACKEND_SERVER, "No server is registered.").left()
         }
+        val closedMs = closedMs()
+        if (clock.nowMs() + closedMs > request.giveUpMs) {
+            return refusal(
+                request,
+                ResultCode.NO_BACKEND_SERVER,
+                "All servers asked to wait."
+            ).left()
+        }
         if (queue.size == 0) grant(request)?.let { return it.right() }
         val ahead = queue.ahead(request.rank)
         if (isHopeless(request, ahead)) {
@@ -122,6 +130,10 @@
         return state
     }
 
+    /** Time until the first server may be sent a request, in milliseconds. */
+    private fun closedMs(): Long =
+        states.values.filter { !it.server.isLeaving }.minOfOrNull { it.closedMs } ?: 0
+
     private fun isHopeless(request: QueuedRequest, ahead: Int): Boolean {
         val perMs = granted.total(clock.nowMs()) / RATE_WINDOW_MS
         if (ahead < MIN_QUEUE || perMs <= 0) return false
@@ -130,7 +142,8 @@
 
     private fun refusal(request: QueuedRequest, code: ResultCode, detail: String): Failure {
         val nowMs = clock.nowMs()
-        return Failure(code, detail, returns.returnMs(nowMs, request.endMs - nowMs))
+        val returnMs = returns.returnMs(nowMs, request.endMs - nowMs)
+        return Failure(code, detail, maxOf(returnMs, closedMs()))
     }
 
     private fun settle(request: QueuedRequest, result: Either<Failure, ServerState>) {
--- a/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/ServerPools.kt
+++ b/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/ServerPools.kt
@@ -3,13 +3,19 @@
 import org.hyssoprack.common.BackendServerId
 import org.hyssoprack.common.Clock
 import org.hyssoprack.common.ServiceId
+import org.hyssoprack.serving.fleet.DepartureBook
 import org.hyssoprack.serving.fleet.RegisteredServer
+import org.hyssoprack.serving.fleet.ServerRun
 import org.hyssoprack.serving.placement.PeerLoad
 import org.hyssoprack.serving.placement.ServerChooser
 import org.hyssoprack.serving.settings.ServiceSpec
 
 /** All services' [ServerPool]s. */
-class ServerPools(private val clock: Clock, private val chooser: ServerChooser) {
+class ServerPools(
+    private val clock: Clock,
+    private val chooser: ServerChooser,
+    private val departures: DepartureBook = DepartureBook(clock)
+) {
     private val pools = HashMap<ServiceId, ServerPool>()
     private var specs: Map<ServiceId, ServiceSpec> = emptyMap()
     private var registered: Collection<RegisteredServer> = emptyList()
@@ -30,6 +36,16 @@
         refresh()
     }
 
+    /** Runs of servers that have said that they leave. */
+    val leaving: Set<ServerRun> get() = departures.runs
+
+    /** [run] has said that it leaves. Returns whether this is news. */
+    fun markLeaving(run: ServerRun): Boolean {
+        val isNews = departures.add(run)
+        if (isNews && registered.any { it.run == run }) refresh()
+        return isNews
+    }
+
     /** Sets what other hosts have in progress at each server. */
     fun setPeers(loads: Map<BackendServerId, PeerLoad>) {
         pools.values.forEach { it.setPeers(loads) }
@@ -48,7 +64,7 @@
     fun tick() = pools.values.forEach { it.pump() }
 
     private fun refresh() {
-        val byService = registered.groupBy { it.service }
+        val byService = registered.map { departures.marked(it) }.groupBy { it.service }
         (pools.keys + byService.keys).toSet().forEach { service ->
             this[service].update(byService[service].orEmpty(), specs[service])
         }
--- a/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/ServingDigest.kt
+++ b/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/ServingDigest.kt
@@ -7,6 +7,7 @@
 import org.hyssoprack.common.BackendServerId
 import org.hyssoprack.common.ClientAccount
 import org.hyssoprack.common.HostMessage
+import org.hyssoprack.serving.fleet.ServerRun
 import org.hyssoprack.serving.placement.PeerLoad
 
 /**
@@ -14,12 +15,14 @@
  *
  * @property quotas what the sender has admitted of each account's quota since its start.
  * @property loads what the sender has in progress at backend servers.
+ * @property leaving runs of backend servers that have said that they leave.
  */
 @Serializable
 @SerialName("serving")
 data class ServingDigest(
     val quotas: Map<ClientAccount, Double>,
-    val loads: Map<BackendServerId, PeerLoad>
+    val loads: Map<BackendServerId, PeerLoad>,
+    val leaving: Set<ServerRun> = emptySet()
 ) : HostMessage
 
 /** Registers [ServingDigest] for the link between hosts. */
--- a/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/StreamRelay.kt
+++ b/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/StreamRelay.kt
@@ -27,11 +27,15 @@
         if (!answer.isStarted) answer.start(status, headers)
     }
 
-    /** Passes on what is whole with [bytes]. */
-    suspend fun pass(bytes: ByteArray) {
+    /** Bytes held back since their event has not ended. */
+    val pendingBytes: Int get() = events.pendingBytes
+
+    /** Passes on what is whole with [bytes]. Returns whether anything was. */
+    suspend fun pass(bytes: ByteArray): Boolean {
         val whole = events.add(bytes)
-        if (whole.isEmpty()) return
+        if (whole.isEmpty()) return false
         answer.send(whole)
+        return true
     }
 
     suspend fun end() = answer.end()
--- a/gateway/netty/src/main/kotlin/org/hyssoprack/gateway/netty/NettyServerConnection.kt
+++ b/gateway/netty/src/main/kotlin/org/hyssoprack/gateway/netty/NettyServerConnection.kt
@@ -30,6 +30,7 @@
     private var isExpecting = false
     private var isClean = true
     private var isInterim = false
+    private var interims = 0
     private var exchanges = 0
 
     var channel: Channel? = null
@@ -43,6 +44,7 @@
 
     override fun send(method: HttpMethod, uri: String, headers: HttpHeaders, body: ByteArray) {
         exchanges++
+        interims = 0
         isExpecting = true
         val request = DefaultFullHttpRequest(
             HttpVersion.HTTP_1_1,
@@ -106,7 +108,10 @@
     private fun readHead(head: HttpResponse) {
         if (head.decoderResult().isFailure) return broken("not an answer in HTTP")
         isInterim = head.status().codeClass() == HttpStatusClass.INFORMATIONAL
-        if (isInterim) return
+        if (isInterim) {
+            if (++interims > MAX_INTERIMS) broken("interim answers without end")
+            return
+        }
         if (!isExpecting) isClean = false
         if (!HttpUtil.isKeepAlive(head)) isClean = false
         put(AnswerPart.Head(head))
@@ -136,6 +141,9 @@
     }
 
     private companion object {
+        // Servers send one or two at most; more are bytes without end.
+        const val MAX_INTERIMS = 8
+
         // Parts that wait for a slow caller before the server is made to wait.
         const val STOP_READING = 64
         const val RESUME_READING = 16
