--- a/core/membership/src/main/kotlin/org/hyssoprack/membership/Member.kt
+++ b/core/membership/src/main/kotlin/org/hyssoprack/membership/Member.kt
@@ -13,6 +13,7 @@
  * @property linkAddress where peers reach it.
  * @property callerAddress where callers reach it.
  * @property refutation counter by which a member overrules suspicions of itself.
+ * @property capacity what it can carry, in hundredths of a processor core; 0 if it does not say.
  * @property load share of its request capacity in use, in percent.
  * @property bundle version that it had in force when it last spoke.
  */
@@ -26,5 +27,6 @@
     val state: MemberState = MemberState.ALIVE,
     val refutation: Int = 0,
     val load: Int = 0,
-    val bundle: BundleVersion = BundleVersion.NONE
+    val bundle: BundleVersion = BundleVersion.NONE,
+    val capacity: Int = 0
 )
--- a/core/membership/src/main/kotlin/org/hyssoprack/membership/MemberProfile.kt
+++ b/core/membership/src/main/kotlin/org/hyssoprack/membership/MemberProfile.kt
@@ -12,5 +12,6 @@
     @SerialName("a") val linkAddress: NetworkAddress,
     @SerialName("c") val callerAddress: NetworkAddress,
     @SerialName("f") val domain: FailureDomain,
-    @SerialName("g") val region: Region
+    @SerialName("g") val region: Region,
+    @SerialName("p") val capacity: Int = 0
 )
--- a/core/membership/src/main/kotlin/org/hyssoprack/membership/MemberRecord.kt
+++ b/core/membership/src/main/kotlin/org/hyssoprack/membership/MemberRecord.kt
@@ -30,6 +30,7 @@
         state = digest.state,
         refutation = digest.refutation,
         load = status.load,
-        bundle = status.bundle
+        bundle = status.bundle,
+        capacity = profile.capacity
     )
 }
--- a/core/membership/src/main/kotlin/org/hyssoprack/membership/OwnStatus.kt
+++ b/core/membership/src/main/kotlin/org/hyssoprack/membership/OwnStatus.kt
@@ -23,7 +23,8 @@
         linkAddress = self.linkAddress,
         callerAddress = self.callerAddress,
         domain = self.domain,
-        region = self.region
+        region = self.region,
+        capacity = self.capacity
     )
 
     fun digest(): MemberDigest = MemberDigest(
--- /dev/null
+++ b/core/serving/src/main/kotlin/org/hyssoprack/serving/limits/AccountUse.kt
@@ -0,0 +1,31 @@
+package org.hyssoprack.serving.limits
+
+/**
+ * What a ledger knows of one account's use in the window. Use before the ledger began is known in two
+ * ways that tell of the same requests, so only the larger one counts.
+ */
+internal class AccountUse(private val windowMs: Long) {
+    /** Admitted by this ledger. */
+    val admitted = WindowCount(windowMs)
+
+    /** Told by hosts beyond what this ledger had admitted for them. */
+    val reported = WindowCount(windowMs)
+    private var restored = WindowCount(windowMs)
+
+    /** Everything that was counted since this ledger began. */
+    val everCounted: Double get() = admitted.everCounted + reported.everCounted
+
+    fun restore(slices: List<UseSlice>) {
+        restored = WindowCount(windowMs)
+        slices.forEach { restored.add(it.startMs, it.amount) }
+    }
+
+    fun total(nowMs: Long): Double =
+        admitted.total(nowMs) + maxOf(reported.total(nowMs), restored.total(nowMs))
+
+    /** The use in the window by time, the oldest first. */
+    fun slices(nowMs: Long): List<UseSlice> {
+        val before = if (reported.total(nowMs) >= restored.total(nowMs)) reported else restored
+        return (admitted.slices(nowMs) + before.slices(nowMs)).sortedBy { it.startMs }
+    }
+}
--- a/core/serving/src/main/kotlin/org/hyssoprack/serving/limits/QuotaLedger.kt
+++ b/core/serving/src/main/kotlin/org/hyssoprack/serving/limits/QuotaLedger.kt
@@ -7,9 +7,10 @@
 import org.hyssoprack.serving.settings.QuotaUnit
 
 /**
- * Keeps accounts within their quotas over all hosts without a coordinator. In any window an account
- * may use its rate times the window, and its burst. Each host counts what it admits itself and what
- * the others say that they have admitted; the share of hosts that are not heard is set aside.
+ * Keeps accounts within their quotas over all hosts. In any window an account may use its rate times
+ * the window, and its burst. One host keeps the ledger for all; it counts what it admits for each
+ * host, and takes in from their reports what they have used beside that. The share of hosts that are
+ * not heard is set aside, so that two hosts which both keep a ledger admit no more than one.
  *
  * A host that starts knows nothing of the window before it. It takes that from [restore], and adds
  * what may have been used without having been recorded: more, the older the record is, since the
@@ -24,42 +25,53 @@
 ) {
     private val windowMs = tolerance().windowMs
     private val startedMs = clock.nowMs()
-    private val startedEpochMs = clock.epochMs()
-    private val used = HashMap<ClientAccount, WindowCount>()
+    private val used = HashMap<ClientAccount, AccountUse>()
     private val unrecorded = HashMap<ClientAccount, Double>()
-    private val admitted = HashMap<ClientAccount, Double>()
-    private val told = HashMap<ClientAccount, Double>()
-    private val seen = HashMap<HostRef, Map<ClientAccount, Double>>()
+    private val bySource = HashMap<HostRef, HashMap<ClientAccount, WindowCount>>()
 
     /** Whether the use before this host's start has been read. */
     var isRestored = false
         private set
 
-    /** What this host has admitted since its start, for the other hosts. */
-    fun totals(): Map<ClientAccount, Double> {
-        told.putAll(admitted)
-        return admitted.toMap()
+    /** Takes [amount] of the quota of [account] for a request at [host]; false if it is used up. */
+    fun admit(host: HostRef, account: Account, amount: Double): Boolean {
+        if (account.ratePerS <= 0) return true
+        if (usedBefore(account) + amount > limit(account)) return false
+        record(host, account.name, amount)
+        return true
     }
 
-    /** Whether so much was admitted since [totals] that the others should know at once. */
-    fun hasNews(accounts: Collection<Account>): Boolean = accounts.any {
-        val newly = (admitted[it.name] ?: 0.0) - (told[it.name] ?: 0.0)
-        newly > quota(it) * NEWS_SHARE
+    /** Gives back [amount] for a request at [host] that did not run. */
+    fun refund(host: HostRef, account: Account, amount: Double) {
+        if (account.ratePerS > 0) record(host, account.name, -amount)
     }
 
-    /** Takes [amount] of the quota of [account]; false if it is used up. */
-    fun admit(account: Account, amount: Double): Boolean {
-        if (account.ratePerS <= 0) return true
-        if (usedBefore(account) + amount > limit(account)) return false
-        record(account, amount)
-        return true
+    /**
+     * Takes in what [host] has used of each account, as far back as [LocalQuota.REPORTED_PART] of the
+     * window. What exceeds what this ledger has counted for it was admitted elsewhere: by the host
+     * itself or by a ledger before this one. It counts as used now.
+     */
+    fun reconcile(host: HostRef, reported: Map<ClientAccount, Double>) {
+        val nowMs = clock.nowMs()
+        reported.forEach { (account, amount) ->
+            val missing = amount - sourceCount(host, account).total(nowMs)
+            if (missing > 0) {
+                use(account).reported.add(nowMs, missing)
+                sourceCount(host, account).add(nowMs, missing)
+            }
+        }
     }
 
-    /** Gives back [amount] for a request that did not run. */
-    fun refund(account: Account, amount: Double) {
-        if (account.ratePerS > 0) record(account, -amount)
+    /** Forgets hosts that have used nothing in the window; called now and then. */
+    fun forgetIdle() {
+        val nowMs = clock.nowMs()
+        bySource.values.removeIf { counts -> counts.values.all { it.total(nowMs) <= 0.0 } }
     }
 
+    /** Share of what may be used of [account] that is used or set aside, from 0 to 1. */
+    fun takenShare(account: Account): Double =
+        (1 - (limit(account) - usedBefore(account)) / quota(account)).coerceIn(0.0, 1.0)
+
     /** Time until [amount] may be admitted, in milliseconds. */
     fun waitMs(account: Account, amount: Double): Long {
         val missing = usedBefore(account) + amount - limit(account)
@@ -72,48 +84,22 @@
         return "$used of ${limit(account).toLong()} used, share of hosts heard ${heardShare()}"
     }
 
-    /** Takes in what [peer] has admitted since its start. */
-    fun learn(peer: HostRef, totals: Map<ClientAccount, Double>) {
-        val before = seen.put(peer, totals) ?: firstTotals(peer, totals)
-        totals.forEach { (name, total) ->
-            count(name).add(clock.nowMs(), total - (before[name] ?: 0.0))
-        }
-    }
-
-    /**
-     * What counts as known of a peer that is heard for the first time. Totals of one that started
-     * long ago reach back to before the window; all that one admitted which started lately may lie
-     * within it, as after a restart of all hosts.
-     */
-    private fun firstTotals(
-        peer: HostRef,
-        totals: Map<ClientAccount, Double>
-    ): Map<ClientAccount, Double> {
-        val isRecent = peer.incarnation.value >= startedEpochMs - windowMs
-        return if (isRecent) emptyMap() else totals
-    }
-
     /** Use of [account] in the window, for the lasting record. */
-    fun use(account: ClientAccount): List<UseSlice> = count(account).slices(clock.nowMs())
+    fun slices(account: ClientAccount): List<UseSlice> = use(account).slices(clock.nowMs())
 
     /** Share of the quota of [account] that is used in the window. */
     fun usedShare(account: Account): Double =
-        shareOf(account, count(account.name).total(clock.nowMs()))
+        shareOf(account, use(account.name).total(clock.nowMs()))
 
     /** All that was counted of [account] since this host's start, as a multiple of its quota. */
-    fun countedShare(account: Account): Double = shareOf(account, count(account.name).everCounted)
+    fun countedShare(account: Account): Double = shareOf(account, use(account.name).everCounted)
 
     /** Takes over what hosts had recorded before this one started. */
-    fun restore(use: Map<ClientAccount, RecordedUse>) {
+    fun restore(records: Map<ClientAccount, RecordedUse>) {
         isRestored = true
-        use.forEach { (name, record) ->
+        records.forEach { (name, record) ->
             unrecorded[name] = unrecordedShare(record.ageMs)
-            val later = count(name).slices(clock.nowMs())
-            val merged = WindowCount(windowMs)
-            (record.slices + later).sortedBy {
-                it.startMs
-            }.forEach { merged.add(it.startMs, it.amount) }
-            used[name] = merged
+            use(name).restore(record.slices)
         }
     }
 
@@ -134,7 +120,7 @@
     /** Use in the window, with what may have been used before this host's start unrecorded. */
     private fun usedBefore(account: Account): Double {
         val nowMs = clock.nowMs()
-        val known = count(account.name).total(nowMs)
+        val known = use(account.name).total(nowMs)
         if (nowMs - startedMs >= windowMs) return known
         val share = unrecorded[account.name] ?: (RECORD_FLOOR + RECORD_STEP)
         return known + quota(account) * share
@@ -147,23 +133,24 @@
         return maxOf(RECORD_STEP, sinceShare)
     }
 
-    private fun record(account: Account, amount: Double) {
-        count(account.name).add(clock.nowMs(), amount)
-        admitted.merge(account.name, amount, Double::plus)
+    private fun record(host: HostRef, account: ClientAccount, amount: Double) {
+        val nowMs = clock.nowMs()
+        use(account).admitted.add(nowMs, amount)
+        sourceCount(host, account).add(nowMs, amount)
     }
 
-    private fun count(name: ClientAccount): WindowCount =
-        used.getOrPut(name) { WindowCount(windowMs) }
+    private fun sourceCount(host: HostRef, account: ClientAccount): WindowCount =
+        bySource.getOrPut(host) { HashMap() }.getOrPut(account) { WindowCount(windowMs) }
+
+    private fun use(name: ClientAccount): AccountUse = used.getOrPut(name) { AccountUse(windowMs) }
 
     companion object {
         private const val MS_PER_S = 1_000.0
 
-        // The rest covers what the other hosts admit until they are heard of.
+        // The rest covers what was used before a change of the host that keeps the ledger, and was
+        // not reported to the new one.
         private const val USED_TOLERANCE = 0.4
 
-        // Twenty hosts that each hold back so much stay within the tolerance.
-        private const val NEWS_SHARE = 0.005
-
         // A process that is killed starts again no sooner, and uses nothing until then.
         private const val RESTART_MS = 1_000L
 
--- a/core/serving/src/main/kotlin/org/hyssoprack/serving/placement/PeerLoad.kt
+++ b/core/serving/src/main/kotlin/org/hyssoprack/serving/placement/PeerLoad.kt
@@ -16,4 +16,11 @@
         promptTokens = promptTokens + other.promptTokens,
         tokens = tokens + other.tokens
     )
+
+    /** What is left of it besides [other]. */
+    fun without(other: PeerLoad) = PeerLoad(
+        running = (running - other.running).coerceAtLeast(0),
+        promptTokens = (promptTokens - other.promptTokens).coerceAtLeast(0),
+        tokens = (tokens - other.tokens).coerceAtLeast(0)
+    )
 }
--- a/core/serving/src/main/kotlin/org/hyssoprack/serving/placement/ServerChooser.kt
+++ b/core/serving/src/main/kotlin/org/hyssoprack/serving/placement/ServerChooser.kt
@@ -13,18 +13,28 @@
     private val domain: FailureDomain,
     private val random: Random = Random.Default
 ) {
-    /** The best of [candidates] for [demand]; null if it should wait. */
-    fun choose(candidates: Collection<ServerState>, demand: Demand): ServerState? {
+    /**
+     * The best of [candidates] for [demand]; null if it should wait.
+     *
+     * @param typical speeds of servers of which nothing is known yet.
+     */
+    fun choose(
+        candidates: Collection<ServerState>,
+        demand: Demand,
+        typical: TypicalSpeed = TypicalSpeed.of(candidates)
+    ): ServerState? {
         val work = demand.work
-        val present = candidates.filter { !it.server.isLeaving }
-        val usable = present.filter { it.hasRoom(work) }
+        val usable = candidates.filter {
+            it.isOpen && it.server.id !in demand.barred && it.hasRoom(work)
+        }
         if (usable.isEmpty()) return null
-        val typical = typical(candidates)
+        val present = candidates.filter { !it.server.isLeaving }
         val sound = usable.filter { !it.isSuspect }.ifEmpty { usable }
         val limits = limitsOf(present, demand, typical)
         val able = sound.filter { isAble(it, work, typical, limits) }
         if (able.isEmpty() && limits.isReachable) return null
-        return able.ifEmpty { sound }.minByOrNull { costMs(it, work, typical) * jitter() }
+        val from = demand.domain ?: domain
+        return able.ifEmpty { sound }.minByOrNull { costMs(it, work, typical, from) * jitter() }
     }
 
     /** What can be asked of a server: to be in time if any could be, else what callers endure. */
@@ -72,8 +82,13 @@
     private fun restMs(state: ServerState, work: Work, typical: TypicalSpeed): Double =
         work.outputTokens * (state.speed.tokenMs ?: typical.tokenMs)
 
-    private fun costMs(state: ServerState, work: Work, typical: TypicalSpeed): Double {
-        val distance = if (state.server.domain == domain) 0.0 else FAR_MS
+    private fun costMs(
+        state: ServerState,
+        work: Work,
+        typical: TypicalSpeed,
+        from: FailureDomain
+    ): Double {
+        val distance = if (state.server.domain == from) 0.0 else FAR_MS
         val used = state.load.running.toDouble() / state.server.slots
         if (work.tokens == 0) {
             val call = state.speed.callMs ?: typical.callMs
@@ -83,32 +98,13 @@
         return first + restMs(state, work, typical) * HOLD_WEIGHT + used * FULL_COST_MS + distance
     }
 
-    private fun typical(states: Collection<ServerState>): TypicalSpeed {
-        val speeds = states.map { it.speed }
-        return TypicalSpeed(
-            prefillMs = median(speeds.mapNotNull { it.prefillMs }) ?: DEFAULT_PREFILL_MS,
-            tokenMs = median(speeds.mapNotNull { it.tokenMs }) ?: DEFAULT_TOKEN_MS,
-            callMs = median(speeds.mapNotNull { it.callMs }) ?: DEFAULT_CALL_MS
-        )
-    }
-
-    private fun median(values: List<Double>): Double? =
-        if (values.isEmpty()) null else values.sorted()[values.size / 2]
-
     // Hosts with the same knowledge must not all choose the same server.
     private fun jitter() = 1.0 + random.nextDouble() * JITTER
 
     /** Bounds in milliseconds; [isReachable] tells whether some server could meet them. */
     private class Limits(val firstMs: Double, val wholeMs: Double, val isReachable: Boolean)
 
-    private class TypicalSpeed(val prefillMs: Double, val tokenMs: Double, val callMs: Double)
-
     private companion object {
-        // Until a server has answered: those of a middling engine.
-        const val DEFAULT_PREFILL_MS = 0.02
-        const val DEFAULT_TOKEN_MS = 4.0
-        const val DEFAULT_CALL_MS = 50.0
-
         // A slot that is held for long is missing to other requests.
         const val HOLD_WEIGHT = 0.05
 
--- a/core/serving/src/main/kotlin/org/hyssoprack/serving/placement/ServerHealth.kt
+++ b/core/serving/src/main/kotlin/org/hyssoprack/serving/placement/ServerHealth.kt
@@ -45,6 +45,11 @@
         restUntilMs = clock.nowMs() + (REST_MS shl doublings)
     }
 
+    /** Another host finds the server silent. */
+    fun toldSilent() {
+        restUntilMs = maxOf(restUntilMs, clock.nowMs() + SILENCE_MS)
+    }
+
     /** The server cannot be reached; it rests at once. */
     fun unreachable() {
         failuresInRow = maxOf(failuresInRow, FAILURES_BEFORE_REST - 1)
--- a/core/serving/src/main/kotlin/org/hyssoprack/serving/placement/ServerState.kt
+++ b/core/serving/src/main/kotlin/org/hyssoprack/serving/placement/ServerState.kt
@@ -18,6 +18,7 @@
 
     private val health = ServerHealth(clock)
     private var own = PeerLoad()
+    private var watched = 0
     private var peers = PeerLoad()
     private var reportedOthers = 0
     private var reportedMs = Long.MIN_VALUE / 2
@@ -55,21 +56,33 @@
         reportedMs = clock.nowMs()
     }
 
+    /** Whether any request at all may be sent to it now. */
+    val isOpen: Boolean
+        get() {
+            val nowMs = clock.nowMs()
+            return !server.isLeaving &&
+                nowMs >= fullUntilMs &&
+                nowMs >= closedUntilMs &&
+                load.running < server.slots
+        }
+
     /** Whether the server has a free slot and memory for [work]. */
     fun hasRoom(work: Work): Boolean {
+        if (!isOpen) return false
         val load = load
-        val nowMs = clock.nowMs()
-        if (load.running >= server.slots || nowMs < fullUntilMs ||
-            nowMs < closedUntilMs
-        ) {
-            return false
-        }
         val memory = memoryTokens ?: return true
         return load.running == 0 || load.tokens + work.tokens <= memory * MEMORY_SHARE
     }
 
-    fun dispatched(work: Work) {
+    /**
+     * A slot was given to [work].
+     *
+     * @param isWatched whether this host sees the answer's bytes, so that it can tell silence.
+     */
+    fun dispatched(work: Work, isWatched: Boolean = true) {
         own += PeerLoad(1, work.promptTokens, work.tokens)
+        if (!isWatched) return
+        watched++
         health.waiting()
     }
 
@@ -79,25 +92,35 @@
     }
 
     /** [work] has ended; [promptRead] says whether its prompt had been read. */
-    fun ended(work: Work, promptRead: Boolean) {
+    fun ended(work: Work, promptRead: Boolean, isWatched: Boolean = true) {
         val unread = if (promptRead) 0 else work.promptTokens
         own += PeerLoad(-1, -unread, -work.tokens)
-        if (own.running == 0) health.idle()
+        if (!isWatched) return
+        watched--
+        if (watched == 0) health.idle()
+    }
+
+    /** Takes in what the use of one of its slots has shown. */
+    fun learn(result: SlotResult) {
+        when (result.outcome) {
+            SlotOutcome.SUCCEEDED -> health.succeeded()
+            SlotOutcome.FAILED -> health.failed()
+            SlotOutcome.UNREACHABLE -> health.unreachable()
+            SlotOutcome.FULL -> full()
+            SlotOutcome.UNUSED -> Unit
+        }
+        result.streamTokens?.let { speed.stream(it, result.streamMs) }
+        result.callMs?.let { speed.call(it) }
     }
 
     /** Bytes have arrived from the server. */
     fun heard() = health.heard()
 
-    fun succeeded() = health.succeeded()
-
-    /** A call failed. */
-    fun failed() = health.failed()
-
-    /** The server cannot be reached. */
-    fun unreachable() = health.unreachable()
+    /** Another host finds the server silent. */
+    fun toldSilent() = health.toldSilent()
 
     /** The server turned a request away since it is full. */
-    fun full() {
+    private fun full() {
         fullUntilMs = clock.nowMs() + FULL_MS
     }
 
--- a/core/serving/src/main/kotlin/org/hyssoprack/serving/queue/QueuedRequest.kt
+++ b/core/serving/src/main/kotlin/org/hyssoprack/serving/queue/QueuedRequest.kt
@@ -1,6 +1,7 @@
 package org.hyssoprack.serving.queue
 
 import org.hyssoprack.common.BackendServerId
+import org.hyssoprack.common.FailureDomain
 import org.hyssoprack.common.ServiceId
 import org.hyssoprack.serving.placement.Demand
 import org.hyssoprack.serving.placement.Work
@@ -14,7 +15,10 @@
  * @property giveUpMs monotonic time after which it is refused.
  * @property patienceMs time from arrival after which the caller leaves without a first event.
  * @property endMs monotonic time by which it must be answered.
- * @property avoid servers that have failed it already.
+ * @property avoid servers that have failed it already; used if there is no other.
+ * @property barred servers to which the host that sends it must send nothing.
+ * @property domain failure domain of the host that sends it; null for this host's.
+ * @property isWatched whether this host sends it and sees the answer's bytes.
  */
 class QueuedRequest(
     val service: ServiceId,
@@ -25,7 +29,10 @@
     val giveUpMs: Long,
     val endMs: Long,
     val patienceMs: Long = endMs - arrivedMs,
-    val avoid: Set<BackendServerId> = emptySet()
+    val avoid: Set<BackendServerId> = emptySet(),
+    val barred: Set<BackendServerId> = emptySet(),
+    val domain: FailureDomain? = null,
+    val isWatched: Boolean = true
 ) {
     /** Whether its answer can still come in time. */
     fun isInTime(nowMs: Long): Boolean = nowMs < arrivedMs + targetMs * WAIT_SHARE
@@ -35,7 +42,9 @@
         work = work,
         endLeftMs = endMs - nowMs,
         targetLeftMs = arrivedMs + targetMs - nowMs,
-        patienceLeftMs = arrivedMs + patienceMs - nowMs
+        patienceLeftMs = arrivedMs + patienceMs - nowMs,
+        domain = domain,
+        barred = barred
     )
 
     private companion object {
--- a/core/serving/src/main/kotlin/org/hyssoprack/serving/settings/ServingSettings.kt
+++ b/core/serving/src/main/kotlin/org/hyssoprack/serving/settings/ServingSettings.kt
@@ -1,6 +1,7 @@
 package org.hyssoprack.serving.settings
 
 import org.hyssoprack.common.BundleVersion
+import org.hyssoprack.common.ClientAccount
 import org.hyssoprack.common.ServiceId
 
 /**
@@ -15,9 +16,9 @@
     val limits: CallerLimits = CallerLimits(),
     private val accounts: Map<String, Account>? = null
 ) {
-    /** Accounts whose use is limited. */
-    val limitedAccounts: List<Account> =
-        accounts?.values?.distinct().orEmpty().filter { it.ratePerS > 0 }
+    /** Accounts whose use is limited, by their names. */
+    val limitedAccounts: Map<ClientAccount, Account> =
+        accounts?.values.orEmpty().filter { it.ratePerS > 0 }.associateBy { it.name }
 
     private val routesByHost: Map<String, Map<String, Route>> =
         routes.groupBy { it.host }.mapValues { (_, list) -> list.associateBy { it.prefix } }
--- a/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/AttemptEnd.kt
+++ b/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/AttemptEnd.kt
@@ -11,8 +11,13 @@
      * The server did not run the request.
      *
      * @property arrived whether the server saw it.
+     * @property isOtherServer whether another server was found at the address.
      */
-    data class NotRun(val reason: String, val arrived: Boolean) : AttemptEnd
+    data class NotRun(
+        val reason: String,
+        val arrived: Boolean,
+        val isOtherServer: Boolean = false
+    ) : AttemptEnd
 
     /** The server ran the request and gave a whole answer. */
     class Answered(val status: Int, val headers: HttpHeaders, val body: ByteArray) : AttemptEnd
--- a/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/CallProgress.kt
+++ b/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/CallProgress.kt
@@ -1,9 +1,14 @@
 package org.hyssoprack.gateway.forwarding
 
 import org.hyssoprack.common.BackendServerId
-
-/** What has happened to one request so far. */
-internal class CallProgress {
+import org.hyssoprack.gateway.forwarding.slots.QuotaCharge
+
+/**
+ * What has happened to one request so far.
+ *
+ * @property charge what it takes of its account's quota; null if it has none.
+ */
+internal class CallProgress(val charge: QuotaCharge? = null) {
     /** Servers that were tried, in their order. */
     val tried = LinkedHashSet<BackendServerId>()
 
--- a/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/QuotaRecorder.kt
+++ b/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/QuotaRecorder.kt
@@ -7,16 +7,10 @@
 import kotlinx.coroutines.withTimeoutOrNull
 import kotlinx.serialization.SerializationException
 import kotlinx.serialization.json.Json
-import org.hyssoprack.common.BackendServerId
 import org.hyssoprack.common.ClientAccount
 import org.hyssoprack.common.Clock
 import org.hyssoprack.common.EventLog
-import org.hyssoprack.common.FailureDomain
-import org.hyssoprack.common.HostId
 import org.hyssoprack.common.eq
-import org.hyssoprack.membership.MemberView
-import org.hyssoprack.membership.Ownership
-import org.hyssoprack.membership.RendezvousOwnership
 import org.hyssoprack.serving.limits.QuotaLedger
 import org.hyssoprack.serving.limits.RecordedUse
 import org.hyssoprack.serving.settings.Account
@@ -26,18 +20,18 @@
 import org.hyssoprack.store.WriteResult
 
 /**
- * Records the use of quotas in the store, so that it outlasts a restart of all hosts at once. One
- * host, by hashing over the live members, writes each account's use when a step has been used since.
- * The step counts what was used, not how full the window is: at the limit the window stays full.
+ * Records the use of quotas in the store, so that it outlasts a restart of all hosts at once. The host
+ * that keeps the ledger writes each account's use when a step has been used since. The step counts
+ * what was used, not how full the window is: at the limit the window stays full.
+ *
+ * @param isKeeper whether this host keeps the ledger now.
  */
 class QuotaRecorder(
-    private val self: HostId,
     private val table: TableService,
     private val ledger: QuotaLedger,
-    private val view: () -> MemberView,
+    private val isKeeper: () -> Boolean,
     private val clock: Clock,
-    private val log: EventLog,
-    private val ownership: Ownership = RendezvousOwnership()
+    private val log: EventLog
 ) {
     private val written = HashMap<ClientAccount, WrittenUse>()
     private val writing = HashSet<ClientAccount>()
@@ -58,6 +52,7 @@
 
     /** Starts the writes that are due in [scope]; called at intervals. */
     fun record(scope: CoroutineScope, accounts: Collection<Account>) {
+        if (!isKeeper()) return
         accounts.filter { isDue(it) }.forEach { account ->
             writing += account.name
             scope.launch { write(account) }
@@ -65,7 +60,7 @@
     }
 
     private fun isDue(account: Account): Boolean {
-        if (account.name in writing || !isOwn(account.name)) return false
+        if (account.name in writing) return false
         if (ledger.usedShare(account) < QuotaLedger.RECORD_FLOOR) return false
         val last = written[account.name] ?: return true
         val ageMs = clock.nowMs() - last.ms
@@ -73,9 +68,6 @@
         return newly > QuotaLedger.RECORD_STEP / 2 || ageMs > REFRESH_MS
     }
 
-    private fun isOwn(account: ClientAccount): Boolean =
-        ownership.owner(view(), BackendServerId("quota/$account"), ANY_DOMAIN) == self
-
     private suspend fun write(account: Account) {
         try {
             val counted = ledger.countedShare(account)
@@ -109,7 +101,7 @@
 
     private fun recordOf(account: ClientAccount): QuotaRecord {
         val shiftMs = clock.epochMs() - clock.nowMs()
-        val slices = ledger.use(account).map { it.copy(startMs = it.startMs + shiftMs) }
+        val slices = ledger.slices(account).map { it.copy(startMs = it.startMs + shiftMs) }
         return QuotaRecord(slices = slices, writtenMs = clock.epochMs())
     }
 
@@ -137,6 +129,5 @@
 
         // Any use is a step beyond it.
         const val NEVER = -1.0
-        val ANY_DOMAIN = FailureDomain("")
     }
 }
--- a/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/RequestAdmission.kt
+++ b/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/RequestAdmission.kt
@@ -9,7 +9,6 @@
 import org.hyssoprack.common.ResultCode
 import org.hyssoprack.gateway.CallerRequest
 import org.hyssoprack.gateway.RequestFacts
-import org.hyssoprack.serving.limits.QuotaLedger
 import org.hyssoprack.serving.placement.Work
 import org.hyssoprack.serving.settings.Account
 import org.hyssoprack.serving.settings.QuotaUnit
@@ -18,14 +17,10 @@
 import org.hyssoprack.serving.settings.SettingsBook
 
 /** Decides by the settings in force whether a request may run, and where. */
-class RequestAdmission(private val settings: SettingsBook, private val quotas: QuotaLedger) {
-    /** Admits a request and takes its quota. Fails with the reason for refusing it. */
-    fun admit(request: CallerRequest, facts: RequestFacts): Either<Failure, AdmittedCall> = either {
-        val call = resolve(request, facts)
-        val account = call.account
-        if (account != null) takeQuota(account, call.quota)
-        call
-    }
+class RequestAdmission(private val settings: SettingsBook) {
+    /** Admits a request. Fails with the reason for refusing it. */
+    fun admit(request: CallerRequest, facts: RequestFacts): Either<Failure, AdmittedCall> =
+        either { resolve(request, facts) }
 
     /** Checks once more right before dispatch; settings may have changed while it waited. */
     fun recheck(request: CallerRequest, call: AdmittedCall): Either<Failure, AdmittedCall> =
@@ -39,11 +34,6 @@
             }
         }
 
-    /** Gives the quota of a request back that did not run. */
-    fun refund(call: AdmittedCall) {
-        call.account?.let { quotas.refund(it, call.quota) }
-    }
-
     private fun Raise<Failure>.resolve(request: CallerRequest, facts: RequestFacts): AdmittedCall {
         val current = ensureNotNull(settings.current) {
             Failure(ResultCode.NO_SETTINGS, "No settings are in force yet.", RETRY_MS)
@@ -90,17 +80,6 @@
         }
     }
 
-    private fun Raise<Failure>.takeQuota(account: Account, amount: Double) {
-        ensure(quotas.isRestored) {
-            Failure(ResultCode.HOST_ISOLATED, "The use of quotas is not known yet.", RETRY_MS)
-        }
-        ensure(quotas.admit(account, amount)) {
-            val waitMs = quotas.waitMs(account, amount) + RETRY_MS
-            val detail = "${account.name} asks for ${amount.toLong()}, ${quotas.describe(account)}"
-            Failure(ResultCode.QUOTA_EXCEEDED, detail, waitMs)
-        }
-    }
-
     private fun quotaOf(account: Account, facts: RequestFacts): Double = when (account.unit) {
         QuotaUnit.REQUESTS -> 1.0
         QuotaUnit.TOKENS -> (facts.quotaTokens?.toLong() ?: account.plainTokens).toDouble()
--- a/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/RequestForwarder.kt
+++ b/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/RequestForwarder.kt
@@ -14,8 +14,12 @@
 import org.hyssoprack.gateway.RequestHandler
 import org.hyssoprack.gateway.ServerConnections
 import org.hyssoprack.gateway.WireFormat
+import org.hyssoprack.gateway.forwarding.slots.QuotaCharge
+import org.hyssoprack.gateway.forwarding.slots.Slot
+import org.hyssoprack.gateway.forwarding.slots.SlotClient
 import org.hyssoprack.serving.limits.RepeatBudget
-import org.hyssoprack.serving.placement.ServerState
+import org.hyssoprack.serving.placement.SlotOutcome
+import org.hyssoprack.serving.placement.SlotResult
 import org.hyssoprack.serving.queue.QueuedRequest
 
 /** Takes callers' requests in, sends them to backend servers and relays the answers. */
@@ -23,7 +27,8 @@
     private val wire: WireFormat,
     private val connections: ServerConnections,
     private val admission: RequestAdmission,
-    private val pools: ServerPools,
+    pools: ServerPools,
+    private val slots: SlotClient,
     private val repeats: RepeatBudget,
     private val journal: RequestJournal,
     private val clock: Clock,
@@ -57,13 +62,13 @@
     }
 
     private suspend fun serve(request: CallerRequest, call: AdmittedCall, answer: AnswerWriter) {
-        val progress = CallProgress()
+        val progress = CallProgress(call.account?.let { QuotaCharge(it, call.quota) })
         try {
             val leftMs = (call.endMs - clock.nowMs()).coerceAtLeast(1)
             val end = withTimeoutOrNull(leftMs) { tryServers(request, call, answer, progress) }
             finish(call, answer, progress, truthful(end ?: timedOut(progress), progress))
         } catch (e: CancellationException) {
-            if (progress.runs == 0) admission.refund(call)
+            if (progress.runs == 0) refund(progress)
             journal.ended(call, progress, callerLeft(progress))
             throw e
         }
@@ -79,24 +84,23 @@
         val relay = StreamRelay(answer)
         var call = admitted
         while (true) {
-            val state = pools[call.service].acquire(queued(call, progress)).getOrElse {
+            val slot = slots.acquire(queued(call, progress), progress.charge).getOrElse {
                 return CallEnd.Failed(it)
             }
             val checked = admission.recheck(request, call).getOrElse {
-                release(call, state)
+                slot.ended(SlotResult(SlotOutcome.UNUSED))
                 return CallEnd.Failed(it)
             }
             if (checked.service != call.service) {
-                release(call, state)
+                slot.ended(SlotResult(SlotOutcome.UNUSED))
                 call = checked
                 continue
             }
             call = checked
             if (progress.grantedMs == null) progress.grantedMs = clock.nowMs()
-            progress.tried += state.server.id
+            progress.tried += slot.state.server.id
             progress.tries++
-            val end = attempt(request, call, state, progress, relay).run()
-            pools[call.service].pump()
+            val end = attempt(request, call, slot, progress, relay).run()
             return endOf(end, call, progress) ?: continue
         }
     }
@@ -104,7 +108,7 @@
     private fun attempt(
         request: CallerRequest,
         call: AdmittedCall,
-        state: ServerState,
+        slot: Slot,
         progress: CallProgress,
         relay: StreamRelay
     ) = ServerAttempt(
@@ -113,7 +117,7 @@
         clock = clock,
         request = request,
         call = call,
-        state = state,
+        slot = slot,
         progress = progress,
         relay = relay,
         notices = notices,
@@ -180,7 +184,7 @@
         progress: CallProgress,
         end: CallEnd
     ) {
-        if (progress.runs == 0) admission.refund(call)
+        if (progress.runs == 0) refund(progress)
         journal.ended(call, progress, end)
         when (end) {
             is CallEnd.Delivered -> Unit
@@ -218,9 +222,8 @@
         )
     }
 
-    private fun release(call: AdmittedCall, state: ServerState) {
-        state.ended(call.work, promptRead = false)
-        pools[call.service].pump()
+    private fun refund(progress: CallProgress) {
+        progress.charge?.let { slots.refund(it) }
     }
 
     private fun timedOut(progress: CallProgress): CallEnd = CallEnd.Failed(
--- a/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/ServerAttempt.kt
+++ b/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/ServerAttempt.kt
@@ -15,7 +15,9 @@
 import org.hyssoprack.gateway.ServerConnection
 import org.hyssoprack.gateway.ServerConnections
 import org.hyssoprack.gateway.WireFormat
-import org.hyssoprack.serving.placement.ServerState
+import org.hyssoprack.gateway.forwarding.slots.Slot
+import org.hyssoprack.serving.placement.SlotOutcome
+import org.hyssoprack.serving.placement.SlotResult
 
 /**
  * One send of a request to one backend server, up to the end of its answer.
@@ -29,14 +31,14 @@
     private val clock: Clock,
     private val request: CallerRequest,
     private val call: AdmittedCall,
-    private val state: ServerState,
+    private val slot: Slot,
     private val progress: CallProgress,
     private val relay: StreamRelay,
     private val notices: ServerNotices,
     private val mayMove: () -> Boolean
 ) {
+    private val state = slot.state
     private val startMs = clock.nowMs()
-    private val tokensAhead = state.load.promptTokens
     private var promptRead = false
     private var firstMs = 0L
 
@@ -47,10 +49,11 @@
     suspend fun run(): AttemptEnd {
         try {
             val end = sendAndRelay()
-            learn(end)
+            slot.ended(resultOf(end))
             return end
         } finally {
-            state.ended(call.work, promptRead)
+            // Only where the caller has left.
+            slot.ended(SlotResult(SlotOutcome.UNUSED))
         }
     }
 
@@ -71,7 +74,6 @@
     }
 
     private fun unreachable(detail: String): AttemptEnd {
-        state.unreachable()
         connections.forget(state.server.address)
         return AttemptEnd.NotRun(detail, arrived = false)
     }
@@ -137,8 +139,7 @@
         val isCertain = facts.requestId != null || !connection.isReused
         if ((facts.isNotRun || facts.isOtherServer) && isCertain) {
             progress.runs--
-            if (facts.isOtherServer) state.unreachable()
-            return AttemptEnd.NotRun("refused with $status", arrived = true)
+            return AttemptEnd.NotRun("refused with $status", true, facts.isOtherServer)
         }
         if (!isCertain) return AttemptEnd.Broken("answer without an id")
         val headers = wire.answerHeaders(head.headers())
@@ -182,10 +183,8 @@
     private fun firstBytes() {
         promptRead = true
         firstMs = clock.nowMs()
-        state.promptRead(call.work)
-        val nowMs = clock.nowMs()
-        if (progress.firstByteMs == null) progress.firstByteMs = nowMs
-        state.speed.prompt(tokens = tokensAhead, firstMs = nowMs - startMs)
+        slot.promptRead(firstMs - startMs)
+        if (progress.firstByteMs == null) progress.firstByteMs = firstMs
     }
 
     /** The whole body, or how the attempt ended without it. */
@@ -214,6 +213,7 @@
             val part = withTimeoutOrNull(SILENCE_MS) { connection.next() }
             if (part != null) state.heard()
             val isStalled = part is AnswerPart.Body && isWithoutProgress()
+            if (part == null) slot.silent()
             if ((part == null || isStalled) && isStuck() && mayMove()) return null
             if (part != null) return part
         }
@@ -228,26 +228,29 @@
     private fun isWithoutProgress(): Boolean =
         promptRead && relay.isStarted && clock.nowMs() - progressMs >= STUCK_MS
 
-    private fun learn(end: AttemptEnd) {
-        when (end) {
-            is AttemptEnd.Delivered -> learnStream()
-            is AttemptEnd.Answered -> learnAnswer(end)
-            is AttemptEnd.Broken, AttemptEnd.Moved -> state.failed()
-            is AttemptEnd.NotRun -> if (end.arrived) state.full()
-        }
+    /** What the end shows of the server. */
+    private fun resultOf(end: AttemptEnd): SlotResult = when (end) {
+        is AttemptEnd.Delivered -> streamResult()
+
+        is AttemptEnd.Answered -> answerResult(end)
+
+        is AttemptEnd.Broken, AttemptEnd.Moved -> SlotResult(SlotOutcome.FAILED)
+
+        is AttemptEnd.NotRun -> SlotResult(
+            if (end.arrived && !end.isOtherServer) SlotOutcome.FULL else SlotOutcome.UNREACHABLE
+        )
     }
 
-    private fun learnStream() {
-        state.succeeded()
-        if (relay.isFromOneServer) {
-            state.speed.stream(call.work.outputTokens, clock.nowMs() - firstMs)
-        }
+    private fun streamResult(): SlotResult {
+        if (!relay.isFromOneServer) return SlotResult(SlotOutcome.SUCCEEDED)
+        val ms = clock.nowMs() - firstMs
+        return SlotResult(SlotOutcome.SUCCEEDED, call.work.outputTokens, ms)
     }
 
-    private fun learnAnswer(end: AttemptEnd.Answered) {
-        if (end.status >= FIRST_FAILURE) return state.failed()
-        state.succeeded()
-        if (call.work.tokens == 0) state.speed.call(clock.nowMs() - startMs)
+    private fun answerResult(end: AttemptEnd.Answered): SlotResult {
+        if (end.status >= FIRST_FAILURE) return SlotResult(SlotOutcome.FAILED)
+        val callMs = (clock.nowMs() - startMs).takeIf { call.work.tokens == 0 }
+        return SlotResult(SlotOutcome.SUCCEEDED, callMs = callMs)
     }
 
     private fun idleMs(facts: AnswerFacts): Long {
--- a/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/ServerPool.kt
+++ b/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/ServerPool.kt
@@ -12,9 +12,9 @@
 import org.hyssoprack.common.ResultCode
 import org.hyssoprack.serving.fleet.RegisteredServer
 import org.hyssoprack.serving.limits.WindowCount
-import org.hyssoprack.serving.placement.PeerLoad
 import org.hyssoprack.serving.placement.ServerChooser
 import org.hyssoprack.serving.placement.ServerState
+import org.hyssoprack.serving.placement.TypicalSpeed
 import org.hyssoprack.serving.queue.DispatchQueue
 import org.hyssoprack.serving.queue.QueuedRequest
 import org.hyssoprack.serving.queue.ReturnSchedule
@@ -28,9 +28,11 @@
 ) {
     private val states = LinkedHashMap<BackendServerId, ServerState>()
     private val queue = DispatchQueue()
-    private val waiting =
-        HashMap<QueuedRequest, CompletableDeferred<Either<Failure, ServerState>>>()
+    private val waiting = HashMap<QueuedRequest, (Either<Failure, ServerState>) -> Unit>()
     private val granted = WindowCount(RATE_WINDOW_MS)
+    private var typical = TypicalSpeed.of(emptyList())
+    private var typicalMs = Long.MIN_VALUE / 2
+    private var isPumping = false
 
     /** What this host knows of each server. */
     val servers: Collection<ServerState> get() = states.values
@@ -55,62 +57,68 @@
         pump()
     }
 
-    /** Sets what other hosts have in progress at each server. */
-    fun setPeers(loads: Map<BackendServerId, PeerLoad>) {
-        states.values.forEach { it.setPeers(loads[it.server.id] ?: PeerLoad()) }
-    }
+    /** What is known of the server [id]; null if it is not registered. */
+    fun state(id: BackendServerId): ServerState? = states[id]
 
     /** Waits for a slot. Fails with a reason if there is none in time; nothing was sent then. */
     suspend fun acquire(request: QueuedRequest): Either<Failure, ServerState> {
-        if (states.isEmpty()) {
-            return refusal(request, ResultCode.NO_BACKEND_SERVER, "No server is registered.").left()
-        }
-        val closedMs = closedMs()
-        if (clock.nowMs() + closedMs > request.giveUpMs) {
-            return refusal(
-                request,
-                ResultCode.NO_BACKEND_SERVER,
-                "All servers asked to wait."
-            ).left()
+        val result = CompletableDeferred<Either<Failure, ServerState>>()
+        request(request) { result.complete(it) }
+        try {
+            return result.await()
+        } catch (e: CancellationException) {
+            withdraw(request)
+            giveBack(request, result)
+            throw e
         }
-        if (queue.size == 0) grant(request)?.let { return it.right() }
+    }
+
+    /** Asks for a slot; [settle] is called once, at once or later, unless the request is withdrawn. */
+    fun request(request: QueuedRequest, settle: (Either<Failure, ServerState>) -> Unit) {
+        refusalOf(request)?.let { return settle(it.left()) }
+        if (queue.size == 0) grant(request)?.let { return settle(it.right()) }
         val ahead = queue.ahead(request.rank)
         if (isHopeless(request, ahead)) {
-            return refusal(request, ResultCode.QUEUE_FULL, "$ahead requests wait before it.").left()
+            val failure = refusal(request, ResultCode.QUEUE_FULL, "$ahead requests wait before it.")
+            return settle(failure.left())
         }
         queue.add(request)
-        val result = CompletableDeferred<Either<Failure, ServerState>>()
-        waiting[request] = result
+        waiting[request] = settle
         pump()
-        return await(request, result)
+    }
+
+    /** Takes back a request that waits. */
+    fun withdraw(request: QueuedRequest) {
+        queue.remove(request)
+        waiting.remove(request)
     }
 
     /** A slot may have become free. */
     fun pump() {
-        if (queue.size == 0) return
-        val nowMs = clock.nowMs()
-        queue.takeExpired(nowMs).forEach {
-            val failure = refusal(it, ResultCode.DEADLINE_UNREACHABLE, "No slot was free in time.")
-            settle(it, failure.left())
+        if (queue.size == 0 || isPumping) return
+        isPumping = true
+        try {
+            val nowMs = clock.nowMs()
+            queue.takeExpired(nowMs).forEach {
+                val detail = "No slot was free in time."
+                settle(it, refusal(it, ResultCode.DEADLINE_UNREACHABLE, detail).left())
+            }
+            grantWaiting(nowMs)
+        } finally {
+            isPumping = false
         }
+    }
+
+    private fun grantWaiting(nowMs: Long) {
+        if (states.values.none { it.isOpen }) return
         for (request in queue.ordered(nowMs)) {
             val state = grant(request) ?: continue
             queue.remove(request)
             settle(request, state.right())
+            if (states.values.none { it.isOpen }) return
         }
     }
 
-    private suspend fun await(
-        request: QueuedRequest,
-        result: CompletableDeferred<Either<Failure, ServerState>>
-    ): Either<Failure, ServerState> = try {
-        result.await()
-    } catch (e: CancellationException) {
-        waiting.remove(request)
-        if (!queue.remove(request)) giveBack(request, result)
-        throw e
-    }
-
     // The slot was granted in the moment in which the caller left.
     @OptIn(ExperimentalCoroutinesApi::class)
     private fun giveBack(
@@ -118,18 +126,41 @@
         result: CompletableDeferred<Either<Failure, ServerState>>
     ) {
         if (!result.isCompleted || result.isCancelled) return
-        result.getCompleted().onRight { it.ended(request.work, promptRead = false) }
+        result.getCompleted().onRight {
+            it.ended(request.work, promptRead = false, request.isWatched)
+        }
     }
 
     private fun grant(request: QueuedRequest): ServerState? {
-        val others = states.values.filter { it.server.id !in request.avoid }
-        val demand = request.demand(clock.nowMs())
-        val state = chooser.choose(others.ifEmpty { states.values }, demand) ?: return null
-        state.dispatched(request.work)
-        granted.add(clock.nowMs(), 1.0)
+        val others = if (request.avoid.isEmpty()) {
+            states.values
+        } else {
+            states.values.filter { it.server.id !in request.avoid }.ifEmpty { states.values }
+        }
+        val nowMs = clock.nowMs()
+        val state = chooser.choose(others, request.demand(nowMs), typical(nowMs)) ?: return null
+        state.dispatched(request.work, request.isWatched)
+        granted.add(nowMs, 1.0)
         return state
     }
 
+    private fun typical(nowMs: Long): TypicalSpeed {
+        if (nowMs - typicalMs >= TYPICAL_LIFETIME_MS) {
+            typical = TypicalSpeed.of(states.values)
+            typicalMs = nowMs
+        }
+        return typical
+    }
+
+    private fun refusalOf(request: QueuedRequest): Failure? {
+        if (states.isEmpty()) {
+            return refusal(request, ResultCode.NO_BACKEND_SERVER, "No server is registered.")
+        }
+        val isClosed = clock.nowMs() + closedMs() > request.giveUpMs
+        if (!isClosed) return null
+        return refusal(request, ResultCode.NO_BACKEND_SERVER, "All servers asked to wait.")
+    }
+
     /** Time until the first server may be sent a request, in milliseconds. */
     private fun closedMs(): Long =
         states.values.filter { !it.server.isLeaving }.minOfOrNull { it.closedMs } ?: 0
@@ -147,12 +178,15 @@
     }
 
     private fun settle(request: QueuedRequest, result: Either<Failure, ServerState>) {
-        waiting.remove(request)?.complete(result)
+        waiting.remove(request)?.invoke(result)
     }
 
     private companion object {
         const val RATE_WINDOW_MS = 1_000L
 
+        // Speeds change with some requests; all requests of this time share one look at them.
+        const val TYPICAL_LIFETIME_MS = 100L
+
         // Shorter queues say little about the time to wait.
         const val MIN_QUEUE = 4
     }
--- a/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/ServerPools.kt
+++ b/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/ServerPools.kt
@@ -46,13 +46,18 @@
         return isNews
     }
 
-    /** Sets what other hosts have in progress at each server. */
-    fun setPeers(loads: Map<BackendServerId, PeerLoad>) {
-        pools.values.forEach { it.setPeers(loads) }
+    /** Forgets what other hosts have in progress. */
+    fun forgetPeers() = pools.values.flatMap { it.servers }.forEach { it.setPeers(PeerLoad()) }
+
+    /** Sets what all hosts have in progress at each server, this one included. */
+    fun setTotals(loads: Map<BackendServerId, PeerLoad>) {
+        pools.values.flatMap { it.servers }.forEach {
+            it.setPeers((loads[it.server.id] ?: PeerLoad()).without(it.ownLoad))
+        }
     }
 
-    /** What this host has in progress at each server where it has any. */
-    fun ownLoads(): Map<BackendServerId, PeerLoad> = pools.values
+    /** What is in progress at each server where there is any, as far as this host lends slots. */
+    fun loads(): Map<BackendServerId, PeerLoad> = pools.values
         .flatMap { it.servers }
         .filter { it.ownLoad.running > 0 }
         .associate { it.server.id to it.ownLoad }
--- /dev/null
+++ b/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/slots/FleetSlots.kt
@@ -0,0 +1,89 @@
+package org.hyssoprack.gateway.forwarding.slots
+
+import org.hyssoprack.common.ClientAccount
+import org.hyssoprack.common.Clock
+import org.hyssoprack.common.EventLog
+import org.hyssoprack.common.FailureDomain
+import org.hyssoprack.common.HostId
+import org.hyssoprack.common.HostRef
+import org.hyssoprack.gateway.forwarding.ServerPools
+import org.hyssoprack.link.Link
+import org.hyssoprack.serving.limits.LocalQuota
+import org.hyssoprack.serving.limits.QuotaLedger
+import org.hyssoprack.serving.settings.Account
+
+/** Both sides of lending slots on one host, connected to each other and to the other hosts. */
+class FleetSlots(
+    private val self: HostRef,
+    domain: FailureDomain,
+    private val link: Link,
+    pools: ServerPools,
+    quotas: QuotaLedger,
+    private val hosts: ServingHosts,
+    quotaWindowMs: Long,
+    accounts: () -> Map<ClientAccount, Account>,
+    private val clock: Clock,
+    log: EventLog
+) {
+    /** Gets slots for this host's requests. */
+    val client: SlotClient = SlotClient(
+        self = self,
+        domain = domain,
+        pools = pools,
+        quota = LocalQuota(clock, quotaWindowMs, hosts::count),
+        currentOwner = hosts::owner,
+        clock = clock,
+        log = log,
+        send = ::send
+    )
+
+    /** Lends slots to the hosts that ask this one. */
+    val owner: SlotOwner = SlotOwner(
+        self = self,
+        pools = pools,
+        quotas = quotas,
+        accounts = accounts,
+        members = hosts::runs,
+        clock = clock,
+        log = log,
+        send = ::send
+    )
+
+    /** Whether this host lends the slots, as it sees itself. */
+    val isOwner: Boolean get() = hosts.owner() == self.host
+
+    private var heardShare = 0.0
+    private var heardShareMs = Long.MIN_VALUE / 2
+
+    /** Share of the hosts that report to this one, as it was lately. */
+    fun heardShare(): Double {
+        val nowMs = clock.nowMs()
+        if (nowMs - heardShareMs < HEARD_SHARE_LIFETIME_MS) return heardShare
+        val fresh = owner.reporters(SlotOwner.FRESH_MS)
+        val present = owner.reporters(SlotOwner.PRESENT_MS)
+        heardShare = hosts.heardShare({ it in fresh }, { it in present })
+        heardShareMs = nowMs
+        return heardShare
+    }
+
+    /** Takes in what another host says. */
+    fun receive(from: HostRef, message: SlotMessage) =
+        if (message.isForOwner()) owner.receive(from, message) else client.receive(from, message)
+
+    private fun send(to: HostId, message: SlotMessage) =
+        if (to == self.host) receive(self, message) else link.send(to, message)
+
+    private fun SlotMessage.isForOwner(): Boolean = when (this) {
+        is SlotMessage.Ask, is SlotMessage.Withdrawn, is SlotMessage.PromptRead,
+        is SlotMessage.Silent, is SlotMessage.Ended, is SlotMessage.Refund,
+        is SlotMessage.Report -> true
+
+        is SlotMessage.Queued, is SlotMessage.Granted, is SlotMessage.Refused,
+        SlotMessage.ReportWanted, is SlotMessage.News -> false
+    }
+
+    private companion object {
+        // Each request asks; reports come once a second.
+        const val HEARD_SHARE_LIFETIME_MS = 50L
+    }
+}
--- /dev/null
+++ b/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/slots/RunningSlot.kt
@@ -0,0 +1,27 @@
+package org.hyssoprack.gateway.forwarding.slots
+
+import kotlinx.serialization.SerialName
+import kotlinx.serialization.Serializable
+import org.hyssoprack.common.BackendServerId
+import org.hyssoprack.common.ServiceId
+import org.hyssoprack.serving.placement.Work
+
+/**
+ * A request in progress at a backend server, as its host reports it.
+ *
+ * @property number the ask that it came from.
+ * @property isPromptRead whether its first event has come.
+ * @property endMs time until its answer must be whole, in milliseconds from the moment of sending.
+ */
+@Serializable
+data class RunningSlot(
+    @SerialName("n") val number: Long,
+    @SerialName("s") val service: ServiceId,
+    @SerialName("b") val server: BackendServerId,
+    @SerialName("p") val promptTokens: Int = 0,
+    @SerialName("o") val outputTokens: Int = 0,
+    @SerialName("f") val isPromptRead: Boolean = false,
+    @SerialName("e") val endMs: Long
+) {
+    val work: Work get() = Work(promptTokens = promptTokens, outputTokens = outputTokens)
+}
--- /dev/null
+++ b/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/slots/ServingHosts.kt
@@ -0,0 +1,78 @@
+package org.hyssoprack.gateway.forwarding.slots
+
+import org.hyssoprack.common.BackendServerId
+import org.hyssoprack.common.BundleVersion
+import org.hyssoprack.common.Clock
+import org.hyssoprack.common.FailureDomain
+import org.hyssoprack.common.HostId
+import org.hyssoprack.common.HostRef
+import org.hyssoprack.membership.Member
+import org.hyssoprack.membership.MemberState
+import org.hyssoprack.membership.MemberView
+import org.hyssoprack.membership.Ownership
+import org.hyssoprack.membership.RendezvousOwnership
+
+/**
+ * The hosts that serve, as this host sees them, and which of them lends slots.
+ *
+ * @param settleMs time after its start for which a host is not chosen while another one can be, since
+ *   it does not know yet what was used before.
+ */
+class ServingHosts(
+    private val self: HostRef,
+    private val view: () -> MemberView,
+    private val clock: Clock,
+    private val settleMs: Long,
+    private val ownership: Ownership = RendezvousOwnership()
+) {
+    /** The host that lends slots: one of the strong ones that have settings in force. */
+    fun owner(): HostId? {
+        val ready = view().members.values
+            .filter { it.state == MemberState.ALIVE && it.bundle > BundleVersion.NONE }
+        val settled = ready.filter { clock.epochMs() - it.ref.incarnation.value >= settleMs }
+        val able = settled.ifEmpty { ready }
+        val most = able.maxOfOrNull { it.capacity } ?: return null
+        val strong = able.filter { it.capacity >= most * STRONG_SHARE }.associateBy { it.ref.host }
+        return ownership.owner(MemberView(strong), SLOTS, ANY_DOMAIN)
+    }
+
+    /** Runs of the hosts that may be serving, this one included. */
+    fun runs(): Set<HostRef> = view().live().mapTo(hashSetOf(self)) { it.ref }
+
+    /** Number of hosts that may be serving, this one included. */
+    fun count(): Int = known().size + 1
+
+    /**
+     * Share of the hosts that may be serving, this one included, of which [isHeard] holds.
+     *
+     * @param isPresent whether a host was heard at all lately.
+     */
+    fun heardShare(isHeard: (HostId) -> Boolean, isPresent: (HostId) -> Boolean): Double {
+        val peers = peers().map { it.ref.host }
+        val present = peers.filter(isPresent)
+        val known = if (isMajority(present.size, peers.size)) present else peers
+        return (known.count(isHeard) + 1.0) / (known.size + 1)
+    }
+
+    /**
+     * Peers that may be serving. Those that are gone are left out only where most are there, since a
+     * host that is cut off must not take the others for gone.
+     */
+    private fun known(): List<Member> {
+        val peers = peers()
+        val live = peers.filter { it.state != MemberState.DEAD }
+        return if (isMajority(live.size, peers.size)) live else peers
+    }
+
+    private fun peers(): List<Member> = view().members.values
+        .filter { it.state != MemberState.LEAVING && it.ref.host != self.host }
+
+    private fun isMajority(part: Int, all: Int): Boolean = (part + 1) * 2 > all + 1
+
+    private companion object {
+        // Hosts within this part of the strongest one's capacity are as good as it is.
+        const val STRONG_SHARE = 0.6
+        val SLOTS = BackendServerId("slots")
+        val ANY_DOMAIN = FailureDomain("")
+    }
+}
