--- a/core/serving/src/main/kotlin/org/hyssoprack/serving/placement/ServerState.kt
+++ b/core/serving/src/main/kotlin/org/hyssoprack/serving/placement/ServerState.kt
@@ -22,8 +22,8 @@
     private var peers = PeerLoad()
     private var reportedOthers = 0
     private var reportedMs = Long.MIN_VALUE / 2
-    private var fullUntilMs = Long.MIN_VALUE
-    private var closedUntilMs = Long.MIN_VALUE
+    private var fullUntilMs = Long.MIN_VALUE / 2
+    private var closedUntilMs = Long.MIN_VALUE / 2
 
     /** What this host has in progress there. */
     val ownLoad: PeerLoad get() = own
