--- a/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/ServerPool.kt
+++ b/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/ServerPool.kt
@@ -156,8 +156,8 @@
         if (states.isEmpty()) {
             return refusal(request, ResultCode.NO_BACKEND_SERVER, "No server is registered.")
         }
-        val isClosed = clock.nowMs() + closedMs() > request.giveUpMs
-        if (!isClosed) return null
+        val closedMs = closedMs()
+        if (closedMs == 0L || clock.nowMs() + closedMs <= request.giveUpMs) return null
         return refusal(request, ResultCode.NO_BACKEND_SERVER, "All servers asked to wait.")
     }
 
