--- a/core/serving/src/main/kotlin/org/hyssoprack/serving/fleet/ServerBook.kt
+++ b/core/serving/src/main/kotlin/org/hyssoprack/serving/fleet/ServerBook.kt
@@ -15,9 +15,9 @@
     /** All servers that may get requests, and those that are leaving. */
     val all: Collection<RegisteredServer> get() = servers.values
 
-    /** The store answers again after it was away. */
-    fun storeReturned() {
-        storeBackMs = clock.nowMs()
+    /** The store answers again since [agoMs] after it was away, in milliseconds. */
+    fun storeReturned(agoMs: Long = 0) {
+        storeBackMs = clock.nowMs() - agoMs
     }
 
     /** Adds or replaces one entry. */
--- a/core/serving/src/main/kotlin/org/hyssoprack/serving/settings/Moment.kt
+++ b/core/serving/src/main/kotlin/org/hyssoprack/serving/settings/Moment.kt
@@ -10,6 +10,9 @@
     /** Time passed since this moment by the clock that says more, in milliseconds. */
     fun ageMs(clock: Clock): Long = maxOf(clock.nowMs() - monotonicMs, clock.epochMs() - epochMs, 0)
 
+    /** The moment [ms] before this one. */
+    fun before(ms: Long) = Moment(monotonicMs = monotonicMs - ms, epochMs = epochMs - ms)
+
     companion object {
         fun now(clock: Clock) = Moment(monotonicMs = clock.nowMs(), epochMs = clock.epochMs())
     }
--- a/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/FeedFollower.kt
+++ b/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/FeedFollower.kt
@@ -13,6 +13,7 @@
  * Keeps a [FeedSink] up to date with one table of the store: reads it whole, follows its changes,
  * and reads it whole again when the store has forgotten them.
  *
+ * @param observer told of all that was read, for those that read it from here.
  * @param waitMs how long the store may hold a call without changes. Each answer shows that nothing
  *   newer is known, so it must be well below the age at which the table counts as outdated.
  */
@@ -22,7 +23,8 @@
     private val sink: FeedSink,
     private val clock: Clock,
     private val log: EventLog,
-    private val waitMs: Long
+    private val waitMs: Long,
+    private val observer: FeedObserver = NoObserver
 ) {
     private var revision: Long? = null
     private var failures = 0
@@ -38,25 +40,40 @@
     private suspend fun step(): Failure? {
         val started = Moment.now(clock)
         val known = revision
-        val isUsable = if (known == null) {
+        if (known == null) {
             val read = feed.read().fold({ return it }, { it })
             revision = read.revision
-            sink.replace(read.rows)
+            val isUsable = sink.replace(read.rows)
+            observer.replaced(read)
+            answered(storeBackMs = null)
+            confirm(isUsable, started.before(read.ageMs))
         } else {
             val read = feed.changes(known, waitMs).fold({ return it }, { it })
             revision = read.revision
-            read.rows.isEmpty() || sink.change(read.rows)
+            answered(read.storeBackMs)
+            val isUsable = read.rows.isEmpty() || sink.change(read.rows)
+            observer.changed(read)
+            confirm(isUsable, started.before(read.ageMs))
         }
-        answered()
-        if (isUsable) sink.confirm(started)
         return null
     }
 
-    private fun answered() {
+    private fun confirm(isUsable: Boolean, moment: Moment) {
+        observer.confirmed(moment)
+        if (isUsable) sink.confirm(moment)
+    }
+
+    private fun answered(storeBackMs: Long?) {
+        if (storeBackMs != null) returned(storeBackMs)
         if (failures == 0) return
         log.event("store-regained", "table" eq name, "failures" eq failures)
         failures = 0
-        sink.returned()
+        returned(agoMs = 0)
+    }
+
+    private fun returned(agoMs: Long) {
+        sink.returned(agoMs)
+        observer.storeReturned(agoMs)
     }
 
     private suspend fun handle(failure: Failure) {
@@ -77,6 +94,8 @@
         delay(minOf(FIRST_DELAY_MS shl minOf(failures - 1, MAX_DOUBLINGS), MAX_DELAY_MS))
     }
 
+    private object NoObserver : FeedObserver
+
     private companion object {
         const val FIRST_DELAY_MS = 50L
         const val MAX_DOUBLINGS = 4
--- a/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/FeedSink.kt
+++ b/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/FeedSink.kt
@@ -14,6 +14,6 @@
     /** What was received is all that there was at [readStarted]. */
     fun confirm(readStarted: Moment)
 
-    /** The store answers again after it did not. */
-    fun returned()
+    /** The store answers again after it did not, since [agoMs], in milliseconds. */
+    fun returned(agoMs: Long)
 }
--- a/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/ServerSink.kt
+++ b/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/ServerSink.kt
@@ -46,7 +46,7 @@
 
     override fun confirm(readStarted: Moment) = Unit
 
-    override fun returned() = book.storeReturned()
+    override fun returned(agoMs: Long) = book.storeReturned(agoMs)
 
     /** Drops entries that lapsed while the store was away and did not come back. */
     fun dropLapsed() {
--- a/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/SettingsSink.kt
+++ b/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/SettingsSink.kt
@@ -33,7 +33,7 @@
         book.confirm(readStarted)
     }
 
-    override fun returned() = Unit
+    override fun returned(agoMs: Long) = Unit
 
     private fun rejected(failure: Failure): Boolean {
         log.event("settings-unreadable", "detail" eq failure.detail)
--- /dev/null
+++ b/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/feeds/SharedRowFeed.kt
@@ -0,0 +1,80 @@
+package org.hyssoprack.gateway.forwarding.feeds
+
+import arrow.core.Either
+import arrow.core.left
+import arrow.core.right
+import org.hyssoprack.common.Clock
+import org.hyssoprack.common.EventLog
+import org.hyssoprack.common.Failure
+import org.hyssoprack.common.HostId
+import org.hyssoprack.common.ResultCode
+import org.hyssoprack.common.eq
+import org.hyssoprack.store.FeedRow
+import org.hyssoprack.store.RowChanges
+import org.hyssoprack.store.RowFeed
+import org.hyssoprack.store.RowSnapshot
+
+/**
+ * Reads a table of the store through a host that reads it for others, or from the store itself where
+ * this host is such a reader or none of them has fresh news.
+ *
+ * @param direct the store's own feed.
+ * @param readers the hosts to ask, the first choice first; empty if this host reads itself.
+ * @param mostAgeMs age of a reader's news beyond which the store is asked instead.
+ */
+class SharedRowFeed(
+    private val table: String,
+    private val direct: RowFeed,
+    private val feeds: SharedFeeds,
+    private val readers: () -> List<HostId>,
+    private val clock: Clock,
+    private val log: EventLog,
+    private val mostAgeMs: Long
+) : RowFeed {
+    private val avoidUntilMs = HashMap<HostId, Long>()
+
+    override suspend fun read(): Either<Failure, RowSnapshot> {
+        val told = ask(revision = null, waitMs = 0) as? FeedMessage.Rows ?: return direct.read()
+        return RowSnapshot(told.feedRows(), told.revision, told.ageMs).right()
+    }
+
+    override suspend fun changes(revision: Long, waitMs: Long): Either<Failure, RowChanges> =
+        when (val told = ask(revision, waitMs)) {
+            is FeedMessage.Rows ->
+                RowChanges(told.feedRows(), told.revision, told.ageMs, told.storeBackMs).right()
+
+            is FeedMessage.Unknown ->
+                Failure(ResultCode.HISTORY_LOST, "a reader knows only later changes").left()
+
+            else -> direct.changes(revision, waitMs)
+        }
+
+    /** What the reader says; null if the store is to be asked instead. */
+    private suspend fun ask(revision: Long?, waitMs: Long): FeedMessage? {
+        val nowMs = clock.nowMs()
+        val reader = readers().firstOrNull { nowMs >= (avoidUntilMs[it] ?: Long.MIN_VALUE) }
+            ?: return null
+        val answer = feeds.ask(reader, table, revision, waitMs)
+        val isUsable = when (answer) {
+            is FeedMessage.Rows -> answer.ageMs <= mostAgeMs
+            is FeedMessage.Unknown -> revision != null
+            else -> false
+        }
+        if (isUsable) return answer
+        log.event(
+            "feed-reader-passed-over",
+            "table" eq table,
+            "reader" eq reader,
+            "ageMs" eq (answer as? FeedMessage.Rows)?.ageMs
+        )
+        avoidUntilMs[reader] = clock.nowMs() + AVOID_MS
+        return null
+    }
+
+    private fun FeedMessage.Rows.feedRows(): List<FeedRow> = rows.map { FeedRow(it.key, it.value) }
+
+    private companion object {
+        // A reader that is silent or cut off is tried again after this time.
+        const val AVOID_MS = 2_000L
+    }
+}
--- a/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/slots/ServingHosts.kt
+++ b/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/slots/ServingHosts.kt
@@ -43,15 +43,16 @@
     fun count(): Int = known().size + 1
 
     /**
-     * Share of the hosts that may be serving, this one included, of which [isHeard] holds.
+     * Share of the hosts that may be serving, this one included, of which [isHeard] holds. This host
+     * counts like any other: while it asks another owner, its own part is kept there.
      *
      * @param isPresent whether a host was heard at all lately.
      */
     fun heardShare(isHeard: (HostId) -> Boolean, isPresent: (HostId) -> Boolean): Double {
-        val peers = peers().map { it.ref.host }
-        val present = peers.filter(isPresent)
-        val known = if (isMajority(present.size, peers.size)) present else peers
-        return (known.count(isHeard) + 1.0) / (known.size + 1)
+        val all = peers().map { it.ref.host } + self.host
+        val present = all.filter(isPresent)
+        val known = if (present.size * 2 > all.size) present else all
+        return known.count(isHeard).toDouble() / known.size
     }
 
     /**
--- a/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/slots/SlotOwner.kt
+++ b/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/slots/SlotOwner.kt
@@ -36,6 +36,7 @@
     private val send: (HostId, SlotMessage) -> Unit
 ) {
     private val clients = HashMap<HostRef, Client>()
+    private var toldTaken: Map<ClientAccount, Double> = emptyMap()
 
     private class Client(var reportedMs: Long?) {
         val leases = HashMap<Long, Lease>()
@@ -63,20 +64,29 @@
         }
     }
 
-    /** Tells those that report what they need without this host, and drops what is over. */
+    /** Drops what is over, and tells those that report what they need without this host. */
     fun tick() {
         val nowMs = clock.nowMs()
         val serving = members()
         clients.forEach { (host, client) -> dropOver(host, client, serving, nowMs) }
         clients.values.removeIf { it.leases.isEmpty() && !it.isFresh(nowMs, FORGET_MS) }
         quotas.forgetIdle()
+        tellNews(takenShares())
+    }
+
+    /** Tells at once if an account's use has grown much since the last news; called often. */
+    fun tellGrowth() {
+        if (clients.isEmpty()) return
+        val taken = takenShares()
+        val hasGrown = taken.any { (name, share) -> share - (toldTaken[name] ?: 0.0) >= NEWS_SHARE }
+        if (hasGrown) tellNews(taken)
+    }
+
+    private fun tellNews(taken: Map<ClientAccount, Double>) {
+        toldTaken = taken
         val hosts = reporters(FRESH_MS)
         if (hosts.isEmpty()) return
-        val news = SlotMessage.News(
-            taken = takenShares(),
-            loads = pools.loads(),
-            leaving = pools.leaving
-        )
+        val news = SlotMessage.News(taken = taken, loads = pools.loads(), leaving = pools.leaving)
         hosts.forEach { send(it, news) }
     }
 
@@ -251,6 +261,9 @@
         private const val GONE_MS = 2_000L
         private const val FORGET_MS = 20_000L
 
+        // Bounds what hosts that are cut off take for free although it was used since the last news.
+        private const val NEWS_SHARE = 0.05
+
         // Shares below this make no difference to what a host may admit by itself.
         private const val SMALL_SHARE = 0.01
 
--- /dev/null
+++ b/gateway/forwarding/src/test/kotlin/org/hyssoprack/gateway/forwarding/feeds/SharedRowFeedTest.kt
@@ -0,0 +1,177 @@
+package org.hyssoprack.gateway.forwarding.feeds
+
+import arrow.core.Either
+import arrow.core.right
+import assertk.assertThat
+import assertk.assertions.isBetween
+import assertk.assertions.isEqualTo
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.channels.Channel
+import kotlinx.coroutines.channels.ReceiveChannel
+import kotlinx.coroutines.runBlocking
+import net.jqwik.api.Example
+import org.hyssoprack.common.BundleVersion
+import org.hyssoprack.common.Failure
+import org.hyssoprack.common.FailureDomain
+import org.hyssoprack.common.HostId
+import org.hyssoprack.common.HostMessage
+import org.hyssoprack.common.HostRef
+import org.hyssoprack.common.Incarnation
+import org.hyssoprack.common.ManualClock
+import org.hyssoprack.common.NetworkAddress
+import org.hyssoprack.common.Region
+import org.hyssoprack.common.SilentEventLog
+import org.hyssoprack.link.Link
+import org.hyssoprack.link.ReceivedMessage
+import org.hyssoprack.membership.Member
+import org.hyssoprack.membership.MemberView
+import org.hyssoprack.serving.settings.Moment
+import org.hyssoprack.store.FeedRow
+import org.hyssoprack.store.RowChanges
+import org.hyssoprack.store.RowFeed
+import org.hyssoprack.store.RowSnapshot
+
+class SharedRowFeedTest {
+    private val clock = ManualClock(100_000)
+
+    /** The store's own feed; counts the calls. */
+    private class StoreFeed : RowFeed {
+        var calls = 0
+
+        override suspend fun read(): Either<Failure, RowSnapshot> {
+            calls++
+            return RowSnapshot(listOf(FeedRow("store", "1")), revision = 50).right()
+        }
+
+        override suspend fun changes(revision: Long, waitMs: Long): Either<Failure, RowChanges> {
+            calls++
+            return RowChanges(emptyList(), revision).right()
+        }
+    }
+
+    /** Delivers at once to the feeds of the other host. */
+    private class DirectLink(private val from: HostRef, private val isCut: Boolean) : Link {
+        lateinit var other: SharedFeeds
+        override val incoming: ReceiveChannel<ReceivedMessage> = Channel()
+
+        override fun send(to: HostId, message: HostMessage) {
+            if (!isCut) other.receive(from, message as FeedMessage)
+        }
+
+        override fun sendTo(address: NetworkAddress, message: HostMessage) = Unit
+
+        override fun setAddress(host: HostId, address: NetworkAddress) = Unit
+
+        override suspend fun close() = Unit
+    }
+
+    private inner class Pair(scope: CoroutineScope, isCut: Boolean = false) {
+        val store = StoreFeed()
+        private val askerLink = DirectLink(ref("asker"), isCut)
+        private val readerLink = DirectLink(ref("reader"), isCut)
+        private val asker = SharedFeeds(askerLink, clock, scope)
+        private val reader = SharedFeeds(readerLink, clock, scope)
+        val copy = reader.copy(TABLE)
+        val observer = CopyObserver(TABLE, reader)
+        val feed = SharedRowFeed(
+            table = TABLE,
+            direct = store,
+            feeds = asker,
+            readers = { listOf(HostId("reader")) },
+            clock = clock,
+            log = SilentEventLog,
+            mostAgeMs = 2_000
+        )
+
+        init {
+            askerLink.other = reader
+            readerLink.other = asker
+        }
+
+        fun readAll(rows: List<FeedRow> = listOf(FeedRow("k", "1"))) {
+            observer.replaced(RowSnapshot(rows, revision = 10))
+            observer.confirmed(Moment.now(clock))
+        }
+    }
+
+    @Example
+    fun `the store is asked only where no reader has fresh news`() {
+        class Case(val name: String, val ageMs: Long?, val isCut: Boolean, val storeCalls: Int)
+        val cases = listOf(
+            Case("fresh", ageMs = 900, isCut = false, storeCalls = 0),
+            Case("too old", ageMs = 2_500, isCut = false, storeCalls = 1),
+            Case("knows nothing", ageMs = null, isCut = false, storeCalls = 1),
+            Case("cut off", ageMs = 0, isCut = true, storeCalls = 1)
+        )
+        for (case in cases) {
+            runBlocking {
+                val pair = Pair(this, case.isCut)
+                if (case.ageMs != null) {
+                    pair.readAll()
+                    clock.advance(case.ageMs)
+                }
+                val read = pair.feed.read().getOrNull()!!
+                assertThat(pair.store.calls, case.name).isEqualTo(case.storeCalls)
+                val expected = if (case.storeCalls == 0) case.ageMs else 0L
+                assertThat(read.ageMs, case.name).isEqualTo(expected)
+            }
+        }
+    }
+
+    @Example
+    fun `changes are told in order from where the asker stands, and lost ones are read anew`() {
+        runBlocking {
+            val pair = Pair(this)
+            pair.readAll()
+            pair.observer.changed(RowChanges(listOf(FeedRow("k", "2")), revision = 12))
+            pair.observer.changed(RowChanges(listOf(FeedRow("l", null)), revision = 15))
+            pair.observer.confirmed(Moment.now(clock))
+            class Case(val since: Long, val keys: List<String>?, val revision: Long)
+            val cases = listOf(
+                Case(since = 10, keys = listOf("k", "l"), revision = 15),
+                Case(since = 12, keys = listOf("l"), revision = 15),
+                Case(since = 15, keys = emptyList(), revision = 15),
+                Case(since = 20, keys = emptyList(), revision = 20),
+                Case(since = 4, keys = null, revision = 0)
+            )
+            for (case in cases) {
+                val told = pair.feed.changes(case.since, waitMs = 0).getOrNull()
+                assertThat(told?.rows?.map { it.key }, "${case.since}").isEqualTo(case.keys)
+                assertThat(told?.revision ?: 0, "${case.since}").isEqualTo(case.revision)
+            }
+            assertThat(pair.store.calls).isEqualTo(0)
+        }
+    }
+
+    @Example
+    fun `calls to the store hardly grow with the fleet, and each reader has a bounded number to tell`() {
+        for (hosts in listOf(9, 95, 300)) {
+            val view = members(hosts)
+            val asked = view.members.keys
+                .map { FeedReaders(it, { view }).readersOf(TABLE).firstOrNull() ?: it }
+                .groupingBy { it }.eachCount()
+            assertThat(asked.size, "$hosts hosts").isBetween(1, 2 + hosts / 40)
+            assertThat(asked.values.max(), "$hosts hosts").isBetween(1, 80)
+        }
+    }
+
+    private fun members(count: Int) = MemberView(
+        (1..count).associate {
+            val ref = ref("host-$it")
+            ref.host to Member(
+                ref = ref,
+                linkAddress = NetworkAddress("10.0.0.1", it),
+                callerAddress = NetworkAddress("10.0.0.1", it),
+                domain = FailureDomain("z"),
+                region = Region("r"),
+                bundle = BundleVersion(1)
+            )
+        }
+    )
+
+    private fun ref(name: String) = HostRef(HostId(name), Incarnation(1))
+
+    private companion object {
+        const val TABLE = "t"
+    }
+}
--- /dev/null
+++ b/gateway/forwarding/src/test/kotlin/org/hyssoprack/gateway/forwarding/slots/SlotOwnerTest.kt
@@ -0,0 +1,185 @@
+package org.hyssoprack.gateway.forwarding.slots
+
+import assertk.assertThat
+import assertk.assertions.isEqualTo
+import assertk.assertions.isInstanceOf
+import kotlin.random.Random
+import net.jqwik.api.Example
+import org.hyssoprack.common.BackendServerId
+import org.hyssoprack.common.ClientAccount
+import org.hyssoprack.common.FailureDomain
+import org.hyssoprack.common.HostId
+import org.hyssoprack.common.HostRef
+import org.hyssoprack.common.Incarnation
+import org.hyssoprack.common.ManualClock
+import org.hyssoprack.common.NetworkAddress
+import org.hyssoprack.common.ResultCode
+import org.hyssoprack.common.ServiceId
+import org.hyssoprack.common.SilentEventLog
+import org.hyssoprack.gateway.forwarding.ServerPools
+import org.hyssoprack.serving.fleet.RegisteredServer
+import org.hyssoprack.serving.limits.QuotaLedger
+import org.hyssoprack.serving.limits.QuotaTolerance
+import org.hyssoprack.serving.limits.RecordedUse
+import org.hyssoprack.serving.placement.ServerChooser
+import org.hyssoprack.serving.placement.SlotOutcome
+import org.hyssoprack.serving.placement.SlotResult
+import org.hyssoprack.serving.settings.Account
+
+class SlotOwnerTest {
+    private val clock = ManualClock(100_000)
+    private val service = ServiceId("s")
+    private val server = BackendServerId("b")
+    private val self = ref("self")
+    private val a = ref("a")
+    private val b = ref("b")
+    private val account = Account(name = ClientAccount("bakery"), ratePerS = 1.0)
+    private var members = setOf(self, a, b)
+    private val sent = ArrayList<Pair<HostId, SlotMessage>>()
+    private val pools = ServerPools(clock, ServerChooser(FailureDomain("z"), Random(1)))
+    private val ledger = QuotaLedger(clock, { QuotaTolerance(windowMs = 8_000) }) { 1.0 }
+    private val owner = SlotOwner(
+        self = self,
+        pools = pools,
+        quotas = ledger,
+        accounts = { mapOf(account.name to account) },
+        members = { members },
+        clock = clock,
+        log = SilentEventLog,
+        send = { to, message -> sent += to to message }
+    )
+
+    init {
+        ledger.restore(mapOf(account.name to RecordedUse(emptyList(), 0)))
+        clock.advance(20_000)
+        pools.updateServers(
+            listOf(
+                RegisteredServer(
+                    id = server,
+                    service = service,
+                    address = NetworkAddress("10.0.0.1", 80),
+                    domain = FailureDomain("z"),
+                    slots = 1
+                )
+            )
+        )
+        listOf(a, b).forEach { owner.receive(it, SlotMessage.Report()) }
+    }
+
+    @Example
+    fun `a slot goes to the next that waits when it is given back, whatever gives it back`() {
+        class Case(val name: String, val free: () -> Unit)
+        val cases = listOf(
+            Case("its end") {
+                owner.receive(a, SlotMessage.Ended(1, SlotResult(SlotOutcome.SUCCEEDED)))
+            },
+            Case("its ask is withdrawn") { owner.receive(a, SlotMessage.Withdrawn(1)) },
+            Case("a report that does not name it any more") {
+                clock.advance(1_500)
+                owner.receive(a, SlotMessage.Report())
+            },
+            Case("its host is gone") {
+                clock.advance(3_000)
+                members = setOf(self, b)
+                owner.tick()
+            },
+            Case("its host has started anew") {
+                clock.advance(3_000)
+                members = setOf(self, ref("a", run = 2), b)
+                owner.tick()
+            }
+        )
+        for (case in cases) {
+            members = setOf(self, a, b)
+            owner.receive(a, ask(1))
+            assertThat(last(a), case.name).isInstanceOf<SlotMessage.Granted>()
+            owner.receive(b, ask(2))
+            assertThat(last(b), case.name).isInstanceOf<SlotMessage.Queued>()
+            case.free()
+            assertThat(grantsOf(b), case.name).isEqualTo(1)
+            owner.receive(b, SlotMessage.Ended(2, SlotResult(SlotOutcome.SUCCEEDED)))
+            sent.clear()
+        }
+    }
+
+    @Example
+    fun `the running work of a host that is only silent keeps its slot until its deadline`() {
+        owner.receive(a, ask(1))
+        repeat(9) {
+            clock.advance(1_000)
+            owner.tick()
+        }
+        owner.receive(b, ask(2))
+        assertThat(last(b)).isInstanceOf<SlotMessage.Queued>()
+    }
+
+    @Example
+    fun `an owner that has just begun takes over what hosts report to be running`() {
+        val running = RunningSlot(number = 7, service = service, server = server, endMs = 9_000)
+        owner.receive(a, SlotMessage.Report(running = listOf(running)))
+        owner.receive(b, ask(1))
+        assertThat(last(b)).isInstanceOf<SlotMessage.Queued>()
+        owner.receive(a, SlotMessage.Ended(7, SlotResult(SlotOutcome.SUCCEEDED)))
+        assertThat(last(b)).isInstanceOf<SlotMessage.Granted>()
+    }
+
+    @Example
+    fun `quota is taken once, and given back where no slot was used`() {
+        class Case(val name: String, val end: () -> Unit)
+        val cases = listOf(
+            Case("withdrawn") { owner.receive(a, SlotMessage.Withdrawn(1)) },
+            Case("did not run at all") {
+                owner.receive(a, SlotMessage.Ended(1, SlotResult(SlotOutcome.UNUSED)))
+                owner.receive(a, SlotMessage.Refund(account.name, QUOTA))
+            },
+            Case("no slot in time") {
+                owner.receive(b, ask(9))
+                owner.receive(a, SlotMessage.Withdrawn(1))
+            }
+        )
+        for (case in cases) {
+            owner.receive(a, ask(1, quota = QUOTA))
+            assertThat(last(a), case.name).isInstanceOf<SlotMessage.Granted>()
+            owner.receive(b, ask(2, quota = QUOTA))
+            val refusal = last(b) as SlotMessage.Refused
+            assertThat(refusal.code, case.name).isEqualTo(ResultCode.QUOTA_EXCEEDED.number)
+            case.end()
+            assertThat(ledger.usedShare(account), case.name).isEqualTo(0.0)
+            owner.receive(b, SlotMessage.Withdrawn(9))
+        }
+    }
+
+    @Example
+    fun `a server that the asking host must not use is not lent to it`() {
+        owner.receive(a, ask(1).copy(barred = setOf(server)))
+        assertThat(last(a)).isInstanceOf<SlotMessage.Queued>()
+        owner.receive(b, ask(2))
+        assertThat(grantsOf(b)).isEqualTo(1)
+    }
+
+    private fun ask(number: Long, quota: Double = 0.0) = SlotMessage.Ask(
+        number = number,
+        service = service,
+        domain = FailureDomain("z"),
+        account = account.name.takeIf { quota > 0 },
+        quota = quota,
+        rank = 0,
+        ageMs = 0,
+        targetMs = 400,
+        giveUpMs = 5_000,
+        endMs = 10_000,
+        patienceMs = 10_000
+    )
+
+    private fun last(host: HostRef): SlotMessage = sent.last { it.first == host.host }.second
+
+    private fun grantsOf(host: HostRef): Int =
+        sent.count { it.first == host.host && it.second is SlotMessage.Granted }
+
+    private fun ref(name: String, run: Long = 1) = HostRef(HostId(name), Incarnation(run))
+
+    private companion object {
+        // All of a window of eight seconds at one request a second.
+        const val QUOTA = 8.0
+    }
+}
