--- a/core/serving/src/main/kotlin/org/hyssoprack/serving/limits/QuotaLedger.kt
+++ b/core/serving/src/main/kotlin/org/hyssoprack/serving/limits/QuotaLedger.kt
@@ -68,10 +68,6 @@
         bySource.values.removeIf { counts -> counts.values.all { it.total(nowMs) <= 0.0 } }
     }
 
-    /** Share of what may be used of [account] that is used or set aside, from 0 to 1. */
-    fun takenShare(account: Account): Double =
-        (1 - (limit(account) - usedBefore(account)) / quota(account)).coerceIn(0.0, 1.0)
-
     /** Time until [amount] may be admitted, in milliseconds. */
     fun waitMs(account: Account, amount: Double): Long {
         val missing = usedBefore(account) + amount - limit(account)
@@ -104,7 +100,7 @@
     }
 
     /**
-     * Takes over [shares] of quotas that another ledger had as taken, so that the use of hosts which
+     * Takes over [shares] of quotas that another ledger had as used, so that the use of hosts which
      * do not report to this one counts too. It counts as even over the window, and beside what this
      * ledger has admitted only where it is more.
      */
--- a/core/serving/src/test/kotlin/org/hyssoprack/serving/limits/FleetQuotaTest.kt
+++ b/core/serving/src/test/kotlin/org/hyssoprack/serving/limits/FleetQuotaTest.kt
@@ -54,7 +54,7 @@
 
         fun hearNews() {
             val asked = keeper ?: return
-            local.learn(mapOf(account.name to asked.ledger.takenShare(account)))
+            local.learn(mapOf(account.name to asked.ledger.usedShare(account)))
         }
 
         fun moveTo(next: Host?) {
--- a/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/slots/SlotOwner.kt
+++ b/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/slots/SlotOwner.kt
@@ -91,7 +91,7 @@
     }
 
     private fun takenShares(): Map<ClientAccount, Double> =
-        accounts().mapValues { quotas.takenShare(it.value) }.filterValues { it >= SMALL_SHARE }
+        accounts().mapValues { quotas.usedShare(it.value) }.filterValues { it >= SMALL_SHARE }
 
     private fun asked(from: HostRef, ask: SlotMessage.Ask) {
         val client = client(from)
