--- a/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/slots/ServingHosts.kt
+++ b/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/slots/ServingHosts.kt
@@ -25,9 +25,23 @@
     private val settleMs: Long,
     private val ownership: Ownership = RendezvousOwnership()
 ) {
+    private var ownerView: MemberView? = null
+    private var ownerMs = 0L
+    private var owner: HostId? = null
+
     /** The host that lends slots: one of the strong ones that have settings in force. */
     fun owner(): HostId? {
-        val ready = view().members.values
+        val now = view()
+        val nowMs = clock.nowMs()
+        if (now === ownerView && nowMs - ownerMs < OWNER_LIFETIME_MS) return owner
+        ownerView = now
+        ownerMs = nowMs
+        owner = chooseOwner(now)
+        return owner
+    }
+
+    private fun chooseOwner(now: MemberView): HostId? {
+        val ready = now.members.values
             .filter { it.state == MemberState.ALIVE && it.bundle > BundleVersion.NONE }
         val settled = ready.filter { clock.epochMs() - it.ref.incarnation.value >= settleMs }
         val able = settled.ifEmpty { ready }
@@ -73,6 +87,9 @@
     private companion object {
         // Hosts within this part of the strongest one's capacity are as good as it is.
         const val STRONG_SHARE = 0.6
+
+        // Hosts settle with time, without a change of the members.
+        const val OWNER_LIFETIME_MS = 500L
         val SLOTS = BackendServerId("slots")
         val ANY_DOMAIN = FailureDomain("")
     }
