--- a/core/membership/src/test/kotlin/org/hyssoprack/membership/CallerAddressesTest.kt
+++ b/core/membership/src/test/kotlin/org/hyssoprack/membership/CallerAddressesTest.kt
@@ -5,6 +5,7 @@
 import assertk.assertions.hasSize
 import assertk.assertions.isEmpty
 import assertk.assertions.isEqualTo
+import assertk.assertions.isGreaterThan
 import kotlin.random.Random
 import net.jqwik.api.Example
 import org.hyssoprack.common.BundleVersion
@@ -65,6 +66,27 @@
         assertThat(unused).isEmpty()
     }
 
+    @Example
+    fun `steady answers name the same hosts, strong ones more often, and every one somewhere`() {
+        val fleet = members.take(95).mapIndexed { i, member ->
+            member.copy(capacity = if (i % 2 == 0) 150 else 36)
+        }
+        val domains = fleet.map { it.domain }.distinct()
+        val named = domains.flatMap { domain ->
+            val answers = (1..5).map {
+                CallerAddresses(limit = 64, random = Random(it), isSteady = true)
+                    .choose(view(fleet), domain, region).map { address -> address.ref }.toSet()
+            }
+            assertThat(answers.toSet()).hasSize(1)
+            answers.first()
+        }
+        assertThat(fleet.filter { it.ref !in named }).isEmpty()
+        val (strong, weak) = fleet.partition { it.capacity > 100 }
+        val ofStrong = named.count { ref -> strong.any { it.ref == ref } }.toDouble() / strong.size
+        val ofWeak = named.count { ref -> weak.any { it.ref == ref } }.toDouble() / weak.size
+        assertThat(ofStrong).isGreaterThan(ofWeak)
+    }
+
     private fun choose(members: List<Member>) =
         CallerAddresses(random = Random(1)).choose(view(members), near, region)
 
