--- a/core/membership/src/main/kotlin/org/hyssoprack/membership/CallerAddresses.kt
+++ b/core/membership/src/main/kotlin/org/hyssoprack/membership/CallerAddresses.kt
@@ -27,16 +27,14 @@
         val alive = view.members.values.filter { it.state == MemberState.ALIVE }
         // A host that has no bundle in force refuses every request; it has just started.
         val ready = alive.filter { it.bundle > BundleVersion.NONE }.ifEmpty { alive }
-        val places = ready.associateWith { if (isSteady) it.place(domain) else random.nextDouble() }
-        val ranked = ready.sortedWith(
-            compareBy({ it.distance(domain, region) }, { it.loadStep() }, { places[it] })
+        val mixed = if (isSteady) ready.sortedBy { it.place(domain) } else ready.shuffled(random)
+        val ranked = mixed.sortedWith(
+            compareBy({ it.distance(domain, region) }, { it.loadStep() })
         )
         val (near, far) = ranked.partition { it.domain == domain }
         val farCount = minOf(far.size, maxOf(limit / FAR_SHARE, limit - near.size))
         val chosen = near.take(limit - farCount) + far.take(farCount)
-        return chosen.shuffled(random)
-            .sortedWith(compareBy({ it.distance(domain, region) }, { it.loadStep() }))
-            .map { CallerAddress(ref = it.ref, address = it.callerAddress) }
+        return chosen.map { CallerAddress(ref = it.ref, address = it.callerAddress) }
     }
 
     /**
