--- a/link/tcp/src/main/kotlin/org/hyssoprack/link/tcp/Connection.kt
+++ b/link/tcp/src/main/kotlin/org/hyssoprack/link/tcp/Connection.kt
@@ -11,6 +11,7 @@
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.selects.onTimeout
 import kotlinx.coroutines.selects.select
+import kotlinx.coroutines.withTimeoutOrNull
 import org.hyssoprack.common.Clock
 import org.hyssoprack.common.EventLog
 import org.hyssoprack.common.HostId
@@ -44,6 +45,8 @@
         onUndeliveredElement = { counters.drops.increment() }
     )
     private val ended = CompletableDeferred<CloseReason>()
+    private val writerResumed = Channel<Unit>(Channel.CONFLATED)
+    private val watchResumed = Channel<Unit>(Channel.CONFLATED)
 
     @Volatile
     private var heardMs = clock.nowMs()
@@ -51,6 +54,8 @@
     @Volatile
     private var usedMs = clock.nowMs()
 
+    private val isQuiet: Boolean get() = clock.nowMs() - usedMs > settings.quietMs
+
     /** True until the connection has ended. */
     val isOpen: Boolean get() = !ended.isCompleted
 
@@ -109,10 +114,21 @@
 
     private fun accept(frame: Frame) {
         if (frame !is Frame.Payload) return
-        usedMs = clock.nowMs()
+        used()
         deliver(ReceivedMessage(from = peer, message = frame.message))
     }
 
+    // The peer was not expected to be heard while the connection was quiet.
+    private fun used() {
+        val nowMs = clock.nowMs()
+        val wasQuiet = isQuiet
+        usedMs = nowMs
+        if (!wasQuiet) return
+        heardMs = nowMs
+        writerResumed.trySend(Unit)
+        watchResumed.trySend(Unit)
+    }
+
     private fun refuse(fault: FrameFault) {
         counters.refusals.increment()
         log.event("link-frame-refused", "peer" eq peer, "fault" eq fault.wireName)
@@ -130,11 +146,15 @@
     @OptIn(ExperimentalCoroutinesApi::class)
     private suspend fun nextMessage(): HostMessage? = select {
         outgoing.onReceive { it }
-        onTimeout(settings.heartbeatMs) { null }
+        if (isQuiet) {
+            writerResumed.onReceive { null }
+        } else {
+            onTimeout(settings.heartbeatMs) { null }
+        }
     }
 
     private suspend fun writeBatch(first: HostMessage) {
-        usedMs = clock.nowMs()
+        used()
         var message: HostMessage? = first
         var size = 0
         while (message != null) {
@@ -155,9 +175,13 @@
 
     private suspend fun watch() {
         while (isOpen) {
-            delay(settings.heartbeatMs / WATCHES_PER_HEARTBEAT)
+            if (isQuiet) {
+                withTimeoutOrNull(settings.idleMs) { watchResumed.receive() }
+            } else {
+                delay(settings.heartbeatMs / WATCHES_PER_HEARTBEAT)
+            }
             val nowMs = clock.nowMs()
-            if (nowMs - heardMs > settings.silentMs) return closeSilent()
+            if (!isQuiet && nowMs - heardMs > settings.silentMs) return closeSilent()
             if (nowMs - usedMs > settings.idleMs) return close(CloseReason.IDLE)
         }
     }
--- a/link/tcp/src/main/kotlin/org/hyssoprack/link/tcp/LinkSettings.kt
+++ b/link/tcp/src/main/kotlin/org/hyssoprack/link/tcp/LinkSettings.kt
@@ -9,6 +9,9 @@
  * @property connectTimeoutMs bound of one attempt to connect and exchange hellos.
  * @property queueLength messages that wait for one peer; the oldest is dropped beyond that.
  * @property incomingLength received messages that wait for the host; the oldest is dropped.
+ * @property quietMs time without a message, either way, after which a connection sends no heartbeats
+ *   and is not watched until it is used again; spares hosts that talk now and then both heartbeats
+ *   and new connections.
  * @property maxFrameBytes largest frame that is sent or accepted.
  */
 data class LinkSettings(
@@ -18,6 +21,7 @@
     val connectTimeoutMs: Long = 1_000,
     val queueLength: Int = 1_024,
     val incomingLength: Int = 8_192,
+    val quietMs: Long = idleMs,
     val maxFrameBytes: Int = 8 * 1_024 * 1_024
 ) {
     /** Time without a byte after which a connection counts as lost, in milliseconds. */
--- a/link/tcp/src/test/kotlin/org/hyssoprack/link/tcp/RawPeer.kt
+++ b/link/tcp/src/test/kotlin/org/hyssoprack/link/tcp/RawPeer.kt
@@ -32,6 +32,14 @@
         output.write(bytes)
     }
 
+    /** Sends a heartbeat each 20 ms, for [ms] and some more. */
+    fun writeHeartbeatsFor(ms: Long) {
+        repeat((ms / HEARTBEAT_MS).toInt() + 1) {
+            write(Frame.Heartbeat)
+            Thread.sleep(HEARTBEAT_MS)
+        }
+    }
+
     fun writeLength(length: Int) = output.writeInt(length)
 
     /** The next frame; null once the other side has closed. */
@@ -58,6 +66,7 @@
 
     companion object {
         private const val MAX_FRAME_BYTES = 1_000_000
+        private const val HEARTBEAT_MS = 20L
         private const val READ_TIMEOUT_MS = 10_000
         private val ADDRESS = NetworkAddress("127.0.0.1", 1)
 
--- a/link/tcp/src/test/kotlin/org/hyssoprack/link/tcp/TcpLinkTest.kt
+++ b/link/tcp/src/test/kotlin/org/hyssoprack/link/tcp/TcpLinkTest.kt
@@ -147,6 +147,32 @@
         assertThat(left.metrics.silentCloses).isEqualTo(0)
     }
 
+    @Example
+    fun `a quiet connection sends no heartbeats, stays open, and serves and watches again when used`() =
+        runBlocking {
+            val settings = LinkSettings(heartbeatMs = 40, quietMs = 200, idleMs = 60_000)
+            val link = open("a", settings)
+            ServerSocket(0).use { server ->
+                val address = NetworkAddress("127.0.0.1", server.localPort)
+                link.setAddress(b, address)
+                link.send(b, Note(1))
+                val peer = RawPeer.accept(server)
+                peer.greet("b", incarnation = 1, address = address)
+                assertThat(peer.readNote()).isEqualTo(Note(1))
+                // The peer speaks once, so that the connection is not taken for silent before.
+                peer.write(Frame.Payload(Note(2)))
+                assertThat(next(link)).isEqualTo(Note(2))
+                peer.writeHeartbeatsFor(settings.quietMs)
+                delay(settings.silentMs * 3)
+                assertThat(link.metrics.silentCloses).isEqualTo(0)
+                assertThat(link.metrics.open).isEqualTo(1)
+                link.send(b, Note(3))
+                assertThat(peer.readNote()).isEqualTo(Note(3))
+                // The peer stays silent from here on.
+                assertThat(eventually { link.metrics.silentCloses == 1L }).isTrue()
+            }
+        }
+
     @Example
     fun `a hello of an older run or of another version is refused`() = runBlocking {
         val link = open("a")
