--- a/core/membership/src/main/kotlin/org/hyssoprack/membership/MemberTable.kt
+++ b/core/membership/src/main/kotlin/org/hyssoprack/membership/MemberTable.kt
@@ -34,7 +34,7 @@
 
     private class ShownView(val version: Long, val view: MemberView)
 
-    /** Does what time demands; called about every 50 ms. */
+    /** Does what time demands; called about every 100 ms. */
     fun tick(nowMs: Long): List<MemberOutput> {
         memberCount = beliefs.memberCount
         if (nowMs - lastTickMs > settings.pauseMs) resumeAfterPause(nowMs)
--- a/core/membership/src/main/kotlin/org/hyssoprack/membership/SwimMembership.kt
+++ b/core/membership/src/main/kotlin/org/hyssoprack/membership/SwimMembership.kt
@@ -162,7 +162,7 @@
     }
 
     private companion object {
-        const val TICK_MS = 50L
+        const val TICK_MS = 100L
         const val COMMAND_LIMIT = 4_096
         const val SEED_CHECK_INTERVAL_MS = 10_000L
         const val ALONE_CHECK_INTERVAL_MS = 5_000L
--- a/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/slots/SlotOwner.kt
+++ b/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/slots/SlotOwner.kt
@@ -36,6 +36,7 @@
     private val send: (HostId, SlotMessage) -> Unit
 ) {
     private val clients = HashMap<HostRef, Client>()
+    private var toldMs = Long.MIN_VALUE / 2
     private var toldTaken: Map<ClientAccount, Double> = emptyMap()
 
     private class Client(var reportedMs: Long?) {
@@ -64,26 +65,30 @@
         }
     }
 
-    /** Drops what is over, and tells those that report what they need without this host. */
+    /**
+     * Tells those that report what they need without this host: at intervals, and at once if an
+     * account's use has grown much. Drops what is over. Called several times a second.
+     */
     fun tick() {
+        if (clients.isEmpty()) return
         val nowMs = clock.nowMs()
+        val taken = takenShares()
+        val hasGrown = taken.any { (name, share) -> share - (toldTaken[name] ?: 0.0) >= NEWS_SHARE }
+        val isDue = nowMs - toldMs >= NEWS_MS
+        if (isDue) dropOver(nowMs)
+        if (isDue || hasGrown) tellNews(taken)
+    }
+
+    private fun dropOver(nowMs: Long) {
         val serving = members()
         clients.forEach { (host, client) -> dropOver(host, client, serving, nowMs) }
         clients.values.removeIf { it.leases.isEmpty() && !it.isFresh(nowMs, FORGET_MS) }
         quotas.forgetIdle()
-        tellNews(takenShares())
-    }
-
-    /** Tells at once if an account's use has grown much since the last news; called often. */
-    fun tellGrowth() {
-        if (clients.isEmpty()) return
-        val taken = takenShares()
-        val hasGrown = taken.any { (name, share) -> share - (toldTaken[name] ?: 0.0) >= NEWS_SHARE }
-        if (hasGrown) tellNews(taken)
     }
 
     private fun tellNews(taken: Map<ClientAccount, Double>) {
         toldTaken = taken
+        toldMs = clock.nowMs()
         val hosts = reporters(FRESH_MS)
         if (hosts.isEmpty()) return
         val news = SlotMessage.News(taken = taken, loads = pools.loads(), leaving = pools.leaving)
@@ -254,8 +259,8 @@
         /** Time without a report after which a host counts as gone where most hosts report. */
         const val PRESENT_MS = 10_000L
 
-        /** Time between two [tick]s, in milliseconds. */
-        const val NEWS_MS = 1_000L
+        // Some news in the time for which a host goes by them.
+        private const val NEWS_MS = 1_000L
 
         // A host that is restarted is back sooner.
         private const val GONE_MS = 2_000L
--- a/link/tcp/src/main/kotlin/org/hyssoprack/link/tcp/Connection.kt
+++ b/link/tcp/src/main/kotlin/org/hyssoprack/link/tcp/Connection.kt
@@ -48,8 +48,9 @@
     private val writerResumed = Channel<Unit>(Channel.CONFLATED)
     private val watchResumed = Channel<Unit>(Channel.CONFLATED)
 
+    /** When something was sent of which nothing was heard since; null if the peer was heard. */
     @Volatile
-    private var heardMs = clock.nowMs()
+    private var unheardSinceMs: Long? = clock.nowMs()
 
     @Volatile
     private var usedMs = clock.nowMs()
@@ -107,7 +108,7 @@
 
     private suspend fun readFrames() {
         while (isOpen) {
-            val frame = socket.read { heardMs = clock.nowMs() }
+            val frame = socket.read { unheardSinceMs = null }
             frame.fold({ return refuse(it) }, { accept(it) })
         }
     }
@@ -118,13 +119,10 @@
         deliver(ReceivedMessage(from = peer, message = frame.message))
     }
 
-    // The peer was not expected to be heard while the connection was quiet.
     private fun used() {
-        val nowMs = clock.nowMs()
         val wasQuiet = isQuiet
-        usedMs = nowMs
+        usedMs = clock.nowMs()
         if (!wasQuiet) return
-        heardMs = nowMs
         writerResumed.trySend(Unit)
         watchResumed.trySend(Unit)
     }
@@ -139,6 +137,7 @@
         while (isOpen) {
             val first = nextMessage()
             if (first == null) socket.write(Frame.Heartbeat) else writeBatch(first)
+            if (unheardSinceMs == null) unheardSinceMs = clock.nowMs()
             socket.flush()
         }
     }
@@ -175,13 +174,14 @@
 
     private suspend fun watch() {
         while (isOpen) {
-            if (isQuiet) {
+            if (isQuiet && unheardSinceMs == null) {
                 withTimeoutOrNull(settings.idleMs) { watchResumed.receive() }
             } else {
                 delay(settings.heartbeatMs / WATCHES_PER_HEARTBEAT)
             }
             val nowMs = clock.nowMs()
-            if (!isQuiet && nowMs - heardMs > settings.silentMs) return closeSilent()
+            val isSilent = unheardSinceMs.let { it != null && nowMs - it > settings.silentMs }
+            if (isSilent) return closeSilent()
             if (nowMs - usedMs > settings.idleMs) return close(CloseReason.IDLE)
         }
     }
