Choose the owner of the slots without knowing who has settings in force

Cause: whether a member has settings in force is told in probes only. With 95 hosts a probe comes round to each in up to half a minute, so hosts would have chosen owners among the few that had spoken to them, each its own.

Change: the owner is chosen among the live members, which gossip tells to all within seconds. One without fresh settings says so, and is passed over for half a second, longer each time.

Tests: ServingHostsTest, SlotOwnerTest, SlotClientTest.

--- a/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/feeds/FeedReaders.kt
+++ b/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/feeds/FeedReaders.kt
@@ -1,7 +1,6 @@
 package org.hyssoprack.gateway.forwarding.feeds
 
 import com.google.common.hash.Hashing
-import org.hyssoprack.common.BundleVersion
 import org.hyssoprack.common.HostId
 import org.hyssoprack.membership.MemberState
 import org.hyssoprack.membership.MemberView
@@ -13,12 +12,12 @@
 class FeedReaders(private val self: HostId, private val view: () -> MemberView) {
     /** The hosts to ask for [table], the first choice first; empty if this host reads itself. */
     fun readersOf(table: String): List<HostId> {
-        val ready = view().members.values
-            .filter { it.state == MemberState.ALIVE && it.bundle > BundleVersion.NONE }
+        val live = view().members.values
+            .filter { it.state == MemberState.ALIVE }
             .map { it.ref.host }
-        val count = LEAST_READERS + ready.size / HOSTS_PER_READER
-        if (ready.size <= count) return emptyList()
-        val readers = ready.sortedByDescending { score(table, it) }.take(count)
+        val count = LEAST_READERS + live.size / HOSTS_PER_READER
+        if (live.size <= count) return emptyList()
+        val readers = live.sortedByDescending { score(table, it) }.take(count)
         if (self in readers) return emptyList()
         return readers.sortedByDescending { score(self.value, it) }
     }
--- a/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/slots/FleetSlots.kt
+++ b/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/slots/FleetSlots.kt
@@ -22,6 +22,7 @@
     private val hosts: ServingHosts,
     quotaWindowMs: Long,
     accounts: () -> Map<ClientAccount, Account>,
+    isReady: () -> Boolean,
     private val clock: Clock,
     log: EventLog
 ) {
@@ -32,6 +33,7 @@
         pools = pools,
         quota = LocalQuota(clock, quotaWindowMs, hosts::count),
         currentOwner = hosts::owner,
+        passOver = hosts::passOver,
         clock = clock,
         log = log,
         send = ::send
@@ -44,6 +46,7 @@
         quotas = quotas,
         accounts = accounts,
         members = hosts::runs,
+        isReady = isReady,
         clock = clock,
         log = log,
         send = ::send
@@ -79,7 +82,7 @@
         is SlotMessage.Report -> true
 
         is SlotMessage.Queued, is SlotMessage.Granted, is SlotMessage.Refused,
-        SlotMessage.ReportWanted, is SlotMessage.News -> false
+        SlotMessage.ReportWanted, SlotMessage.NotReady, is SlotMessage.News -> false
     }
 
     private companion object {
--- a/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/slots/ServingHosts.kt
+++ b/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/slots/ServingHosts.kt
@@ -1,7 +1,6 @@
 package org.hyssoprack.gateway.forwarding.slots
 
 import org.hyssoprack.common.BackendServerId
-import org.hyssoprack.common.BundleVersion
 import org.hyssoprack.common.Clock
 import org.hyssoprack.common.FailureDomain
 import org.hyssoprack.common.HostId
@@ -29,20 +28,39 @@
     private var ownerMs = 0L
     private var owner: HostId? = null
 
-    /** The host that lends slots: one of the strong ones that have settings in force. */
+    private val passedOverUntilMs = HashMap<HostId, Long>()
+    private val passedOverMs = HashMap<HostId, Long>()
+    private val passOverTimes = HashMap<HostId, Int>()
+
+    /** The host that lends slots: one of the strong ones, by hashing over the live members. */
     fun owner(): HostId? {
         val now = view()
         val nowMs = clock.nowMs()
         if (now === ownerView && nowMs - ownerMs < OWNER_LIFETIME_MS) return owner
+        passedOverUntilMs.values.removeIf { it <= nowMs }
         ownerView = now
         ownerMs = nowMs
         owner = chooseOwner(now)
         return owner
     }
 
+    /**
+     * [host] has said that it cannot lend slots now, so another one is chosen for a time. Which hosts
+     * have settings in force is not known of members that have not spoken to this host.
+     */
+    fun passOver(host: HostId) {
+        val nowMs = clock.nowMs()
+        val isFirst = nowMs - (passedOverMs[host] ?: Long.MIN_VALUE / 2) > PASS_OVER_MEMORY_MS
+        val times = if (isFirst) 0 else passOverTimes[host] ?: 0
+        passedOverMs[host] = nowMs
+        passOverTimes[host] = times + 1
+        passedOverUntilMs[host] = nowMs + (PASS_OVER_MS shl minOf(times, PASS_OVER_DOUBLINGS))
+        ownerView = null
+    }
+
     private fun chooseOwner(now: MemberView): HostId? {
         val ready = now.members.values
-            .filter { it.state == MemberState.ALIVE && it.bundle > BundleVersion.NONE }
+            .filter { it.state == MemberState.ALIVE && it.ref.host !in passedOverUntilMs }
         val settled = ready.filter { clock.epochMs() - it.ref.incarnation.value >= settleMs }
         val able = settled.ifEmpty { ready }
         val most = able.maxOfOrNull { it.capacity } ?: return null
@@ -90,6 +108,12 @@
 
         // Hosts settle with time, without a change of the members.
         const val OWNER_LIFETIME_MS = 500L
+
+        // A host that starts has its settings in about this time; one that is cut off from the store
+        // is asked less and less often.
+        const val PASS_OVER_MS = 500L
+        const val PASS_OVER_DOUBLINGS = 4
+        const val PASS_OVER_MEMORY_MS = 20_000L
         val SLOTS = BackendServerId("slots")
         val ANY_DOMAIN = FailureDomain("")
     }
--- a/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/slots/SlotClient.kt
+++ b/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/slots/SlotClient.kt
@@ -26,6 +26,7 @@
  * quotas. An ask is good for one dispatch: a grant that comes after its ask was given up is returned.
  *
  * @param currentOwner the host that lends slots, as this host sees it; null if there is none.
+ * @param passOver told of an owner that cannot lend slots now, so that another one is chosen.
  */
 class SlotClient internal constructor(
     private val self: HostRef,
@@ -33,6 +34,7 @@
     private val pools: ServerPools,
     private val quota: LocalQuota,
     private val currentOwner: () -> HostId?,
+    private val passOver: (HostId) -> Unit,
     private val clock: Clock,
     private val log: EventLog,
     private val send: (HostId, SlotMessage) -> Unit
@@ -75,6 +77,7 @@
             is SlotMessage.Queued -> pending[message.number]?.queued()
             is SlotMessage.Granted -> granted(from, message)
             is SlotMessage.Refused -> pending[message.number]?.answered(message)
+            SlotMessage.NotReady -> ownerNotReady(from)
             is SlotMessage.ReportWanted -> report(from.host, isFirst = true)
             is SlotMessage.News -> news(from, message)
             else -> log.event("slot-message-stray", "from" eq from, "message" eq message)
@@ -135,6 +138,15 @@
         pools.setTotals(news.loads)
     }
 
+    private fun ownerNotReady(from: HostRef) {
+        if (from.host != knownOwner) return
+        log.event("slot-owner-not-ready", "owner" eq from)
+        passOver(from.host)
+        pending.values.filter {
+            it.owner == from.host
+        }.forEach { it.answered(SlotMessage.NotReady) }
+    }
+
     private fun heard() {
         if (silentUntilMs != null) log.event("slot-owner-answers", "owner" eq knownOwner)
         silentUntilMs = null
@@ -159,7 +171,7 @@
         val unusable = HashSet<BackendServerId>()
         repeat(MOST_ASKS) {
             val number = ++lastNumber
-            val ask = PendingAsk()
+            val ask = PendingAsk(owner)
             pending[number] = ask
             try {
                 send(owner, askOf(number, request, charge, unusable))
@@ -325,7 +337,7 @@
     }
 
     /** An ask on its way. */
-    private class PendingAsk {
+    private class PendingAsk(val owner: HostId) {
         val firstWord = CompletableDeferred<Unit>()
         val answer = CompletableDeferred<SlotMessage>()
 
--- a/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/slots/SlotMessage.kt
+++ b/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/slots/SlotMessage.kt
@@ -135,6 +135,11 @@
     @SerialName("sf")
     data object ReportWanted : SlotMessage
 
+    /** The sender cannot lend slots now. */
+    @Serializable
+    @SerialName("sx")
+    data object NotReady : SlotMessage
+
     /**
      * What hosts need if the sender no longer answers, sent at intervals to all that report to it.
      *
@@ -164,6 +169,7 @@
         subclass(SlotMessage.Refund::class)
         subclass(SlotMessage.Report::class)
         subclass(SlotMessage.ReportWanted::class)
+        subclass(SlotMessage.NotReady::class)
         subclass(SlotMessage.News::class)
     }
 }
--- a/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/slots/SlotOwner.kt
+++ b/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/slots/SlotOwner.kt
@@ -23,6 +23,7 @@
  *
  * @param self this host, which sees the bytes of its own requests.
  * @param accounts client accounts whose use is limited, by their names.
+ * @param isReady whether this host has settings in force that are fresh, and knows quotas' use.
  * @param members runs of the hosts that may be serving, this one included.
  */
 class SlotOwner internal constructor(
@@ -31,6 +32,7 @@
     private val quotas: QuotaLedger,
     private val accounts: () -> Map<ClientAccount, Account>,
     private val members: () -> Set<HostRef>,
+    private val isReady: () -> Boolean,
     private val clock: Clock,
     private val log: EventLog,
     private val send: (HostId, SlotMessage) -> Unit
@@ -53,6 +55,8 @@
 
     /** Takes in what [from] says. */
     fun receive(from: HostRef, message: SlotMessage) {
+        val isNeeded = message is SlotMessage.Ask || message is SlotMessage.Report
+        if (isNeeded && !isReady()) return send(from.host, SlotMessage.NotReady)
         when (message) {
             is SlotMessage.Ask -> asked(from, message)
             is SlotMessage.Withdrawn -> withdrawn(from, message.number)
--- /dev/null
+++ b/gateway/forwarding/src/test/kotlin/org/hyssoprack/gateway/forwarding/slots/ServingHostsTest.kt
@@ -0,0 +1,75 @@
+package org.hyssoprack.gateway.forwarding.slots
+
+import assertk.assertThat
+import assertk.assertions.isEqualTo
+import assertk.assertions.isNotEqualTo
+import net.jqwik.api.Example
+import org.hyssoprack.common.FailureDomain
+import org.hyssoprack.common.HostId
+import org.hyssoprack.common.HostRef
+import org.hyssoprack.common.Incarnation
+import org.hyssoprack.common.ManualClock
+import org.hyssoprack.common.NetworkAddress
+import org.hyssoprack.common.Region
+import org.hyssoprack.membership.Member
+import org.hyssoprack.membership.MemberState
+import org.hyssoprack.membership.MemberView
+
+class ServingHostsTest {
+    private val clock = ManualClock(100_000)
+
+    @Example
+    fun `all hosts with the same members choose the same owner, a strong and settled one`() {
+        class Case(val name: String, val members: List<Member>, val owner: String?)
+        val strong = member("strong", capacity = 150)
+        val cases = listOf(
+            Case("nobody", emptyList(), null),
+            Case("one", listOf(strong), "strong"),
+            Case("weak ones beside", listOf(strong, member("w1", 36), member("w2", 36)), "strong"),
+            Case(
+                "a new one beside",
+                listOf(strong, member("n", 150, startedMs = 99_000)),
+                "strong"
+            ),
+            Case("only new ones", listOf(member("n", 150, startedMs = 99_000)), "n"),
+            Case("one that leaves", listOf(strong, leaving("l"), leaving("m")), "strong")
+        )
+        for (case in cases) {
+            val owners = (1..5).map { hosts("self-$it", case.members).owner()?.value }.toSet()
+            assertThat(owners, case.name).isEqualTo(setOf(case.owner))
+        }
+    }
+
+    @Example
+    fun `an owner that was passed over is chosen again after a time`() {
+        val hosts = hosts("self", listOf(member("a", 100), member("b", 100)))
+        val first = hosts.owner()!!
+        hosts.passOver(first)
+        assertThat(hosts.owner()).isNotEqualTo(first)
+        clock.advance(3_000)
+        assertThat(hosts.owner()).isEqualTo(first)
+    }
+
+    @Example
+    fun `a host that reports elsewhere does not count itself into its own ledger's share`() {
+        val hosts = hosts("self", listOf(member("self", 100), member("a", 100), member("b", 100)))
+        val heard = setOf(HostId("a"))
+        assertThat(hosts.heardShare({ it in heard }, { true })).isEqualTo(1.0 / 3)
+    }
+
+    private fun hosts(name: String, members: List<Member>): ServingHosts {
+        val view = MemberView(members.associateBy { it.ref.host })
+        return ServingHosts(HostRef(HostId(name), Incarnation(1)), { view }, clock, 8_000)
+    }
+
+    private fun member(name: String, capacity: Int, startedMs: Long = 1) = Member(
+        ref = HostRef(HostId(name), Incarnation(startedMs)),
+        linkAddress = NetworkAddress("10.0.0.1", 1),
+        callerAddress = NetworkAddress("10.0.0.1", 2),
+        domain = FailureDomain("z"),
+        region = Region("r"),
+        capacity = capacity
+    )
+
+    private fun leaving(name: String) = member(name, 150).copy(state = MemberState.LEAVING)
+}
--- a/gateway/forwarding/src/test/kotlin/org/hyssoprack/gateway/forwarding/slots/SlotClientTest.kt
+++ b/gateway/forwarding/src/test/kotlin/org/hyssoprack/gateway/forwarding/slots/SlotClientTest.kt
@@ -49,6 +49,7 @@
         pools = pools,
         quota = quota,
         currentOwner = { owner },
+        passOver = { owner = second.host },
         clock = SystemClock,
         log = SilentEventLog,
         send = { to, message -> sent += to to message }
@@ -117,6 +118,19 @@
         Unit
     }
 
+    @Example
+    fun `an owner that is not ready is passed over at once`() = runBlocking {
+        val asking = async { client.acquire(request(), charge = null) }
+        lastAsk(first)
+        client.receive(first, SlotMessage.NotReady)
+        assertThat(asking.await().getOrNull()!!.owner).isNull()
+        client.tick()
+        val next = async { client.acquire(request(), charge = null) }
+        client.receive(second, SlotMessage.Granted(lastAsk(second), server))
+        assertThat(next.await().getOrNull()!!.owner).isEqualTo(second.host)
+        Unit
+    }
+
     @Example
     fun `a caller that leaves gives its place and a late grant back`() = runBlocking {
         val asking = async { client.acquire(request(), charge = null) }
--- a/gateway/forwarding/src/test/kotlin/org/hyssoprack/gateway/forwarding/slots/SlotOwnerTest.kt
+++ b/gateway/forwarding/src/test/kotlin/org/hyssoprack/gateway/forwarding/slots/SlotOwnerTest.kt
@@ -34,6 +34,7 @@
     private val a = ref("a")
     private val b = ref("b")
     private val account = Account(name = ClientAccount("bakery"), ratePerS = 1.0)
+    private var isReady = true
     private var members = setOf(self, a, b)
     private val sent = ArrayList<Pair<HostId, SlotMessage>>()
     private val pools = ServerPools(clock, ServerChooser(FailureDomain("z"), Random(1)))
@@ -44,6 +45,7 @@
         quotas = ledger,
         accounts = { mapOf(account.name to account) },
         members = { members },
+        isReady = { isReady },
         clock = clock,
         log = SilentEventLog,
         send = { to, message -> sent += to to message }
@@ -149,6 +151,15 @@
         }
     }
 
+    @Example
+    fun `a host without fresh settings lends nothing and says so`() {
+        isReady = false
+        for (message in listOf(ask(1), SlotMessage.Report())) {
+            owner.receive(a, message)
+            assertThat(last(a)).isEqualTo(SlotMessage.NotReady)
+        }
+    }
+
     @Example
     fun `a server that the asking host must not use is not lent to it`() {
         owner.receive(a, ask(1).copy(barred = setOf(server)))
