Turn to the next owner at once when one says that it is not ready

Cause: the host waited for its next tick, up to 150 ms, in which its requests were placed without an owner. Test: SlotClientTest, which ticked by itself before and does so no more.

--- a/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/slots/SlotClient.kt
+++ b/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/slots/SlotClient.kt
@@ -142,9 +142,9 @@
         if (from.host != knownOwner) return
         log.event("slot-owner-not-ready", "owner" eq from)
         passOver(from.host)
-        pending.values.filter {
-            it.owner == from.host
-        }.forEach { it.answered(SlotMessage.NotReady) }
+        val waiting = pending.values.filter { it.owner == from.host }
+        waiting.forEach { it.answered(SlotMessage.NotReady) }
+        tick()
     }
 
     private fun heard() {
--- a/gateway/forwarding/src/test/kotlin/org/hyssoprack/gateway/forwarding/slots/SlotClientTest.kt
+++ b/gateway/forwarding/src/test/kotlin/org/hyssoprack/gateway/forwarding/slots/SlotClientTest.kt
@@ -124,7 +124,6 @@
         lastAsk(first)
         client.receive(first, SlotMessage.NotReady)
         assertThat(asking.await().getOrNull()!!.owner).isNull()
-        client.tick()
         val next = async { client.acquire(request(), charge = null) }
         client.receive(second, SlotMessage.Granted(lastAsk(second), server))
         assertThat(next.await().getOrNull()!!.owner).isEqualTo(second.host)
