--- a/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/slots/SlotClient.kt
+++ b/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/slots/SlotClient.kt
@@ -3,7 +3,6 @@
 import arrow.core.Either
 import arrow.core.left
 import arrow.core.right
-import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.withTimeoutOrNull
 import org.hyssoprack.common.BackendServerId
 import org.hyssoprack.common.Clock
@@ -335,22 +334,4 @@
         const val MOST_ASKS = 2
         const val RETRY_MS = 300L
     }
-
-    /** An ask on its way. */
-    private class PendingAsk(val owner: HostId) {
-        val firstWord = CompletableDeferred<Unit>()
-        val answer = CompletableDeferred<SlotMessage>()
-
-        /** Whether the answer was taken up, so that the owner need not be told. */
-        var isUsed = false
-
-        fun queued() {
-            firstWord.complete(Unit)
-        }
-
-        fun answered(message: SlotMessage) {
-            firstWord.complete(Unit)
-            answer.complete(message)
-        }
-    }
 }
