--- a/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/slots/SlotClient.kt
+++ b/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/slots/SlotClient.kt
@@ -25,6 +25,7 @@
  * quotas. An ask is good for one dispatch: a grant that comes after its ask was given up is returned.
  *
  * @param currentOwner the host that lends slots, as this host sees it; null if there is none.
+ * @param firstWordMs time within which an owner says anything to an ask, in milliseconds.
  * @param passOver told of an owner that cannot lend slots now, so that another one is chosen.
  */
 class SlotClient internal constructor(
@@ -36,6 +37,7 @@
     private val passOver: (HostId) -> Unit,
     private val clock: Clock,
     private val log: EventLog,
+    private val firstWordMs: Long = FIRST_WORD_MS,
     private val send: (HostId, SlotMessage) -> Unit
 ) {
     private val pending = HashMap<Long, PendingAsk>()
@@ -203,7 +205,7 @@
         ask: PendingAsk,
         request: QueuedRequest
     ): SlotMessage? {
-        if (withTimeoutOrNull(FIRST_WORD_MS) { ask.firstWord.await() } == null) {
+        if (withTimeoutOrNull(firstWordMs) { ask.firstWord.await() } == null) {
             ownerSilent(owner)
             return null
         }
