--- a/core/serving/src/main/kotlin/org/hyssoprack/serving/queue/DispatchQueue.kt
+++ b/core/serving/src/main/kotlin/org/hyssoprack/serving/queue/DispatchQueue.kt
@@ -19,6 +19,10 @@
     /** Number of requests that would be served before a new one of [rank]. */
     fun ahead(rank: Int): Int = waiting.count { it.rank <= rank }
 
+    /** Number of waiting requests of [rank] and more urgent ones that can still be in time. */
+    fun aheadInTime(rank: Int, nowMs: Long): Int =
+        waiting.count { it.rank <= rank && it.isInTime(nowMs) }
+
     /** Waiting requests in the order in which they should be served. */
     fun ordered(nowMs: Long): List<QueuedRequest> = waiting.sortedWith(
         compareBy({ !it.isInTime(nowMs) }, { it.rank }, { it.arrivedMs })
--- a/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/ServerPool.kt
+++ b/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/ServerPool.kt
@@ -24,16 +24,19 @@
 class ServerPool(
     private val clock: Clock,
     private val chooser: ServerChooser,
+    private val observer: QueueObserver = SilentQueueObserver,
     private val returns: ReturnSchedule = ReturnSchedule()
 ) {
     private val states = LinkedHashMap<BackendServerId, ServerState>()
     private val queue = DispatchQueue()
-    private val waiting = HashMap<QueuedRequest, (Either<Failure, ServerState>) -> Unit>()
+    private val waiting = HashMap<QueuedRequest, Waiter>()
     private val granted = WindowCount(RATE_WINDOW_MS)
     private var typical = TypicalSpeed.of(emptyList())
     private var typicalMs = Long.MIN_VALUE / 2
     private var isPumping = false
 
+    private class Waiter(val sinceMs: Long, val settle: (Either<Failure, ServerState>) -> Unit)
+
     /** What this host knows of each server. */
     val servers: Collection<ServerState> get() = states.values
 
@@ -75,18 +78,33 @@
 
     /** Asks for a slot; [settle] is called once, at once or later, unless the request is withdrawn. */
     fun request(request: QueuedRequest, settle: (Either<Failure, ServerState>) -> Unit) {
-        refusalOf(request)?.let { return settle(it.left()) }
-        if (queue.size == 0) grant(request)?.let { return settle(it.right()) }
+        val waiter = Waiter(clock.nowMs(), settle)
+        refusalOf(request)?.let { return settle(request, waiter, it.left()) }
+        if (queue.size == 0) grant(request)?.let { return settle(request, waiter, it.right()) }
         val ahead = queue.ahead(request.rank)
         if (isHopeless(request, ahead)) {
-            val failure = refusal(request, ResultCode.QUEUE_FULL, "$ahead requests wait before it.")
-            return settle(failure.left())
+            val failure = refusal(request, ResultCode.QUEUE_FULL, standing(request))
+            return settle(request, waiter, failure.left())
         }
         queue.add(request)
-        waiting[request] = settle
+        waiting[request] = waiter
         pump()
     }
 
+    /** Where [request] stands at this moment, for those who read the refusal. */
+    private fun standing(request: QueuedRequest): String {
+        val nowMs = clock.nowMs()
+        val ahead = queue.ahead(request.rank)
+        val inTime = queue.aheadInTime(request.rank, nowMs)
+        val grants = granted.total(nowMs).toInt()
+        val slots = states.values.sumOf { it.server.slots }
+        val used = states.values.sumOf { it.load.running }
+        val open = states.values.count { it.isOpen }
+        return "$ahead of ${queue.size} requests wait before it, $inTime of them in time; " +
+            "$grants slots were granted in the last $RATE_WINDOW_MS ms; " +
+            "$used of $slots slots are used, $open of ${states.size} servers are open."
+    }
+
     /** Takes back a request that waits. */
     fun withdraw(request: QueuedRequest) {
         queue.remove(request)
@@ -100,7 +118,7 @@
         try {
             val nowMs = clock.nowMs()
             queue.takeExpired(nowMs).forEach {
-                val detail = "No slot was free in time."
+                val detail = "No slot was free in time: ${standing(it)}"
                 settle(it, refusal(it, ResultCode.DEADLINE_UNREACHABLE, detail).left())
             }
             grantWaiting(nowMs)
@@ -178,7 +196,20 @@
     }
 
     private fun settle(request: QueuedRequest, result: Either<Failure, ServerState>) {
-        waiting.remove(request)?.invoke(result)
+        waiting.remove(request)?.let { settle(request, it, result) }
+    }
+
+    private fun settle(
+        request: QueuedRequest,
+        waiter: Waiter,
+        result: Either<Failure, ServerState>
+    ) {
+        val waitedMs = clock.nowMs() - waiter.sinceMs
+        result.fold(
+            { observer.refused(request, it.code, waitedMs) },
+            { observer.granted(request, waitedMs) }
+        )
+        waiter.settle(result)
     }
 
     private companion object {
--- a/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/ServerPools.kt
+++ b/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/ServerPools.kt
@@ -14,6 +14,7 @@
 class ServerPools(
     private val clock: Clock,
     private val chooser: ServerChooser,
+    private val observer: QueueObserver = SilentQueueObserver,
     private val departures: DepartureBook = DepartureBook(clock)
 ) {
     private val pools = HashMap<ServiceId, ServerPool>()
@@ -22,7 +23,7 @@
 
     /** The pool of [service]; empty if no server is registered for it. */
     operator fun get(service: ServiceId): ServerPool =
-        pools.getOrPut(service) { ServerPool(clock, chooser) }
+        pools.getOrPut(service) { ServerPool(clock, chooser, observer) }
 
     /** Takes over the services of new settings. */
     fun updateServices(services: Map<ServiceId, ServiceSpec>) {
--- /dev/null
+++ b/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/SilentQueueObserver.kt
@@ -0,0 +1,11 @@
+package org.hyssoprack.gateway.forwarding
+
+import org.hyssoprack.common.ResultCode
+import org.hyssoprack.serving.queue.QueuedRequest
+
+/** Records nothing. */
+internal object SilentQueueObserver : QueueObserver {
+    override fun granted(request: QueuedRequest, waitedMs: Long) = Unit
+
+    override fun refused(request: QueuedRequest, code: ResultCode, waitedMs: Long) = Unit
+}
