Show that the least urgent kind starves in an overload

OverloadTest plays callers' load on the queue and the choice of servers and checks what each kind and size gets.

--- /dev/null
+++ b/gateway/forwarding/src/test/kotlin/org/hyssoprack/gateway/forwarding/overload/LoadPlay.kt
@@ -0,0 +1,188 @@
+package org.hyssoprack.gateway.forwarding.overload
+
+import java.util.PriorityQueue
+import kotlin.math.exp
+import kotlin.math.ln
+import kotlin.random.Random
+import kotlin.random.asJavaRandom
+import org.hyssoprack.common.BackendServerId
+import org.hyssoprack.common.FailureDomain
+import org.hyssoprack.common.ManualClock
+import org.hyssoprack.common.NetworkAddress
+import org.hyssoprack.common.ServiceId
+import org.hyssoprack.gateway.forwarding.ServerPool
+import org.hyssoprack.serving.fleet.RegisteredServer
+import org.hyssoprack.serving.placement.ServerChooser
+import org.hyssoprack.serving.placement.ServerState
+import org.hyssoprack.serving.placement.SlotOutcome
+import org.hyssoprack.serving.placement.SlotResult
+import org.hyssoprack.serving.placement.Work
+import org.hyssoprack.serving.queue.QueuedRequest
+import org.hyssoprack.serving.queue.ReturnSchedule
+
+/**
+ * Plays callers' load on the queue and the choice of servers, on a simulated clock. Callers that are
+ * refused come back once.
+ *
+ * @param slowness how many times slower than an ordinary engine each server is.
+ * @param load factor for all rates at a time since the start, in milliseconds.
+ */
+internal class LoadPlay(
+    private val kinds: List<LoadKind>,
+    slowness: List<Double>,
+    private val load: (Long) -> Double,
+    seed: Int
+) {
+    private val random = Random(seed)
+    private val clock = ManualClock(START_MS)
+    private val service = ServiceId("s")
+    private val domain = FailureDomain("z")
+    private val pool = ServerPool(
+        clock = clock,
+        chooser = ServerChooser(domain, random),
+        returns = ReturnSchedule(random)
+    )
+    private val events = PriorityQueue(compareBy<Event> { it.atMs }.thenBy { it.number })
+    private var lastNumber = 0L
+    private val engines = slowness.mapIndexed { i, x -> BackendServerId("b$i") to PlayedServer(x) }
+        .toMap()
+
+    /** All callers' requests. */
+    val calls = ArrayList<PlayedCall>()
+
+    private class Event(val atMs: Long, val number: Long, val action: () -> Unit)
+
+    init {
+        pool.update(engines.keys.map { registered(it) }, spec = null)
+    }
+
+    fun run(durationMs: Long): LoadPlay {
+        kinds.forEach { arriveNext(it, START_MS + durationMs) }
+        tick(START_MS + durationMs + DRAIN_MS)
+        while (true) {
+            val event = events.poll() ?: return this
+            clock.advance(event.atMs - clock.nowMs())
+            event.action()
+        }
+    }
+
+    /** Share of the requests of [kind] that were in time. */
+    fun inTime(kind: LoadKind): Double = share(kind) { it.isInTime }
+
+    /** Share of the requests of [kind] that were served at all, of those with [isCounted]. */
+    fun served(kind: LoadKind, isCounted: (PlayedCall) -> Boolean = { true }): Double =
+        share(kind, isCounted) { it.isServed }
+
+    private fun share(
+        kind: LoadKind,
+        isCounted: (PlayedCall) -> Boolean = { true },
+        isGood: (PlayedCall) -> Boolean
+    ): Double {
+        val all = calls.filter { it.kind === kind && isCounted(it) }
+        return all.count(isGood).toDouble() / all.size
+    }
+
+    private fun at(atMs: Long, action: () -> Unit) {
+        events += Event(atMs, lastNumber++, action)
+    }
+
+    private fun tick(untilMs: Long) {
+        pool.pump()
+        if (clock.nowMs() < untilMs) at(clock.nowMs() + TICK_MS) { tick(untilMs) }
+    }
+
+    private fun arriveNext(kind: LoadKind, untilMs: Long) {
+        val perMs = kind.perS * load(clock.nowMs() - START_MS) / MS_PER_S
+        val nextMs = clock.nowMs() + (-ln(1 - random.nextDouble()) / perMs).toLong()
+        if (nextMs >= untilMs) return
+        at(nextMs) {
+            val outputTokens = spread(kind.outputTokens)
+            val call = PlayedCall(
+                kind = kind,
+                arrivedMs = clock.nowMs(),
+                promptTokens = spread(kind.promptTokens),
+                outputTokens = outputTokens,
+                hintedTokens = spread(outputTokens)
+            )
+            calls += call
+            ask(call)
+            arriveNext(kind, untilMs)
+        }
+    }
+
+    private fun ask(call: PlayedCall) {
+        call.attempts++
+        val nowMs = clock.nowMs()
+        val endMs = call.arrivedMs + call.kind.deadlineMs
+        val request = QueuedRequest(
+            service = service,
+            work = Work(promptTokens = call.promptTokens, outputTokens = call.hintedTokens),
+            rank = call.kind.rank,
+            arrivedMs = nowMs,
+            targetMs = call.kind.targetMs,
+            giveUpMs = nowMs + minOf((endMs - nowMs) / TIME_SHARE, PATIENCE_MS / 2),
+            endMs = endMs,
+            patienceMs = PATIENCE_MS
+        )
+        pool.request(request) { result ->
+            result.fold({ refused(call, it.retryAfterMs ?: 0) }, { granted(call, request, it) })
+        }
+    }
+
+    private fun refused(call: PlayedCall, retryAfterMs: Long) {
+        val leftMs = call.arrivedMs + call.kind.deadlineMs - clock.nowMs()
+        if (call.attempts > RETURNS || leftMs <= 0) return
+        at(clock.nowMs() + minOf(retryAfterMs, leftMs / HONOURED_SHARE)) { ask(call) }
+    }
+
+    private fun granted(call: PlayedCall, request: QueuedRequest, state: ServerState) {
+        val engine = engines.getValue(state.server.id)
+        val sentMs = clock.nowMs()
+        val tokensAhead = state.load.promptTokens
+        at(engine.firstAtMs(sentMs, call.promptTokens)) {
+            val nowMs = clock.nowMs()
+            call.firstMs = nowMs - call.arrivedMs
+            state.promptRead(request.work)
+            state.speed.prompt(tokensAhead, nowMs - sentMs)
+            val generateMs = engine.generateMs(call.outputTokens)
+            at(nowMs + generateMs) { ended(call, request, state, generateMs) }
+        }
+    }
+
+    private fun ended(
+        call: PlayedCall,
+        request: QueuedRequest,
+        state: ServerState,
+        generateMs: Long
+    ) {
+        state.ended(request.work, promptRead = true)
+        state.learn(SlotResult(SlotOutcome.SUCCEEDED, call.outputTokens, generateMs))
+        pool.pump()
+    }
+
+    private fun spread(mean: Int): Int {
+        val factor = exp(random.asJavaRandom().nextGaussian() * SPREAD - SPREAD * SPREAD / 2)
+        return (mean * factor).toInt().coerceAtLeast(1)
+    }
+
+    private fun registered(id: BackendServerId) = RegisteredServer(
+        id = id,
+        service = service,
+        address = NetworkAddress("10.0.0.1", 80),
+        domain = domain,
+        slots = SLOTS
+    )
+
+    companion object {
+        const val SLOTS = 12
+        private const val START_MS = 1_000_000L
+        private const val DRAIN_MS = 20_000L
+        private const val TICK_MS = 20L
+        private const val MS_PER_S = 1_000.0
+        private const val PATIENCE_MS = 3_200L
+        private const val TIME_SHARE = 4
+        private const val RETURNS = 1
+        private const val HONOURED_SHARE = 3
+        private const val SPREAD = 0.8
+    }
+}
--- /dev/null
+++ b/gateway/forwarding/src/test/kotlin/org/hyssoprack/gateway/forwarding/overload/OverloadTest.kt
@@ -0,0 +1,120 @@
+package org.hyssoprack.gateway.forwarding.overload
+
+import assertk.assertThat
+import assertk.assertions.isGreaterThan
+import net.jqwik.api.Example
+
+class OverloadTest {
+    private val long = LoadKind(
+        name = "long drafts",
+        rank = 0,
+        perS = 15.0,
+        promptTokens = 6_600,
+        outputTokens = 380,
+        targetMs = 800,
+        deadlineMs = 15_000
+    )
+    private val medium = LoadKind(
+        name = "questions",
+        rank = 1,
+        perS = 42.0,
+        promptTokens = 630,
+        outputTokens = 290,
+        targetMs = 400,
+        deadlineMs = 12_000
+    )
+    private val short = LoadKind(
+        name = "checks",
+        rank = 2,
+        perS = 23.0,
+        promptTokens = 1_800,
+        outputTokens = 24,
+        targetMs = 400,
+        deadlineMs = 3_000
+    )
+    private val kinds = listOf(long, medium, short)
+    private val servers = listOf(0.68, 0.68, 0.68, 0.68, 3.0, 3.0)
+
+    // A quiet load with the two bursts that the users' days have.
+    private val bursts = { ms: Long ->
+        when (ms) {
+            in 5_000..<10_000 -> 1.6
+            in 15_000..<17_500 -> 2.1
+            else -> 0.9
+        }
+    }
+
+    private class Case(val name: String, val seed: Int, val load: (Long) -> Double)
+
+    private val overloads = SEEDS.flatMap { seed ->
+        listOf(
+            Case("somewhat over capacity, $seed", seed) { 1.3 },
+            Case("well over capacity, $seed", seed) { 1.6 },
+            Case("twice the usual, $seed", seed) { 2.0 }
+        )
+    }
+    private val burstDays = SEEDS.map { Case("bursts, $it", it, bursts) }
+
+    @Example
+    fun `no kind of request starves in an overload that lasts`() {
+        for (case in overloads) {
+            val play = play(case)
+            val all = play.calls.count { it.isServed }.toDouble() / play.calls.size
+            for (kind in kinds) {
+                val served = play.served(kind)
+                assertThat(served, "${case.name}, ${kind.name}").isGreaterThan(all / 4)
+            }
+        }
+    }
+
+    @Example
+    fun `every kind of request keeps its floor through bursts`() {
+        for (case in burstDays) {
+            val play = play(case)
+            for (kind in kinds) {
+                val name = "${case.name}, ${kind.name}"
+                assertThat(play.inTime(kind), name).isGreaterThan(HIGHEST_FLOOR)
+            }
+        }
+    }
+
+    @Example
+    fun `a kind is not served less often than a less urgent one`() {
+        for (case in overloads + burstDays) {
+            val play = play(case)
+            kinds.zipWithNext { urgent, other ->
+                val lead = play.served(urgent) - play.served(other)
+                assertThat(lead, "${case.name}, ${urgent.name}").isGreaterThan(-ALLOWED_LEAD)
+            }
+        }
+    }
+
+    @Example
+    fun `the largest prompts of a kind are served at least half as often as all of it`() {
+        for (case in overloads) {
+            val play = play(case)
+            for (kind in kinds) {
+                val sizes = play.calls.filter { it.kind === kind }.map { it.promptTokens }.sorted()
+                val large = sizes[sizes.size * 9 / 10]
+                val served = play.served(kind) { it.promptTokens >= large }
+                val name = "${case.name}, ${kind.name}"
+                assertThat(served, name).isGreaterThan(play.served(kind) / 2)
+            }
+        }
+    }
+
+    private fun play(case: Case) =
+        LoadPlay(kinds = kinds, slowness = servers, load = case.load, seed = case.seed)
+            .run(PLAYED_MS)
+
+    private companion object {
+        val SEEDS = 1..3
+        const val PLAYED_MS = 34_000L
+
+        // The highest share of its worth that the users ask for a kind of request.
+        const val HIGHEST_FLOOR = 0.42
+
+        // What the users allow a less urgent kind to be served more often.
+        const val ALLOWED_LEAD = 0.05
+    }
+}
--- /dev/null
+++ b/gateway/forwarding/src/test/kotlin/org/hyssoprack/gateway/forwarding/overload/PlayedCall.kt
@@ -0,0 +1,18 @@
+package org.hyssoprack.gateway.forwarding.overload
+
+/** One caller's request in a played load, with all its attempts. */
+internal class PlayedCall(
+    val kind: LoadKind,
+    val arrivedMs: Long,
+    val promptTokens: Int,
+    val outputTokens: Int,
+    val hintedTokens: Int
+) {
+    var attempts = 0
+
+    /** When the first event came, in milliseconds after the arrival; null if none came. */
+    var firstMs: Long? = null
+
+    val isServed: Boolean get() = firstMs != null
+    val isInTime: Boolean get() = firstMs.let { it != null && it <= kind.targetMs }
+}
