--- a/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/ServerPool.kt
+++ b/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/ServerPool.kt
@@ -92,7 +92,7 @@
         pump()
     }
 
-    /** Where [request] stands at this moment, for those who read the refusal. */
+    /** Where a new request of [request]'s rank would stand now, for those who read the refusal. */
     private fun standing(request: QueuedRequest): String {
         val nowMs = clock.nowMs()
         val ahead = queue.ahead(request.rank, nowMs)
