Decode a server's rate limit and log when it is learnt, changed or ended

Hosts now decode the header, log changes with the server and both values, name a value that cannot be used, and serve the number of limited servers as a gauge. No decision uses the limit yet.

--- a/gateway/api/src/main/kotlin/org/hyssoprack/gateway/ResponseMetadata.kt
+++ b/gateway/api/src/main/kotlin/org/hyssoprack/gateway/ResponseMetadata.kt
@@ -1,5 +1,6 @@
 package org.hyssoprack.gateway
 
+import org.hyssoprack.serving.limits.ReportedRateLimit
 import org.hyssoprack.serving.placement.ReportedLoad
 
 /**
@@ -16,7 +17,8 @@
  *   host.
  * @property closedMs time for which this host must send no requests to the server, in milliseconds;
  *   null if the server does not ask for that.
- * @property unreadable a header that was ignored because its value cannot be parsed, for the log.
+ * @property rateLimit request rate that the server accepts from all hosts together.
+ * @property unreadable headers that were ignored because their values cannot be used, for the log.
  */
 data class ResponseMetadata(
     val requestId: String?,
@@ -27,5 +29,6 @@
     val idleTimeoutMs: Long? = null,
     val isLeaving: Boolean = false,
     val closedMs: Long? = null,
+    val rateLimit: ReportedRateLimit = ReportedRateLimit.None,
     val unreadable: String? = null
 )
--- a/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/ServerAttempt.kt
+++ b/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/ServerAttempt.kt
@@ -112,6 +112,9 @@
             val isOtherRequest =
                 metadata.requestId != null && metadata.requestId != call.metadata.id
             if (isOtherRequest) continue
+            if (!metadata.isOtherServer) {
+                statusHandler.handleRateLimit(state, metadata, startMs)
+            }
             return relayMatching(connection, head, metadata)
         }
     }
--- a/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/ServerPools.kt
+++ b/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/ServerPools.kt
@@ -2,20 +2,27 @@
 
 import org.hyssoprack.common.BackendServerId
 import org.hyssoprack.common.Clock
+import org.hyssoprack.common.NoOpEventLog
 import org.hyssoprack.common.ServiceId
 import org.hyssoprack.serving.fleet.LeavingServerRegistry
 import org.hyssoprack.serving.fleet.RegisteredServer
 import org.hyssoprack.serving.fleet.ServerInstance
+import org.hyssoprack.serving.fleet.ServerLimitRegistry
 import org.hyssoprack.serving.placement.PeerLoad
 import org.hyssoprack.serving.placement.ServerChooser
 import org.hyssoprack.serving.settings.ServiceSpec
 
-/** The [ServerPool]s of all services. */
+/**
+ * The [ServerPool]s of all services.
+ *
+ * @property limits request rates that servers accept from all hosts together.
+ */
 class ServerPools(
     private val clock: Clock,
     private val chooser: ServerChooser,
     private val observer: QueueObserver = NoOpQueueObserver,
-    private val leavingServers: LeavingServerRegistry = LeavingServerRegistry(clock)
+    private val leavingServers: LeavingServerRegistry = LeavingServerRegistry(clock),
+    val limits: ServerLimitRegistry = ServerLimitRegistry(clock, NoOpEventLog)
 ) {
     private val pools = HashMap<ServiceId, ServerPool>()
     private var specs: Map<ServiceId, ServiceSpec> = emptyMap()
--- a/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/ServerStatusHandler.kt
+++ b/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/ServerStatusHandler.kt
@@ -3,6 +3,7 @@
 import org.hyssoprack.common.EventLog
 import org.hyssoprack.common.eq
 import org.hyssoprack.gateway.ResponseMetadata
+import org.hyssoprack.serving.limits.ReportedRateLimit
 import org.hyssoprack.serving.placement.ServerState
 
 /**
@@ -23,4 +24,20 @@
             log.event("server-header-unreadable", "server" eq server.id, "header" eq it)
         }
     }
+
+    /**
+     * Applies the rate limit in [metadata] of the server's response to a request that was sent at
+     * [sentMs]. Only a genuine response ends a limit.
+     */
+    fun handleRateLimit(state: ServerState, metadata: ResponseMetadata, sentMs: Long) {
+        val instance = state.server.instance
+        when (val limit = metadata.rateLimit) {
+            is ReportedRateLimit.PerSecond -> pools.limits.recordNamed(instance, limit.perS)
+
+            ReportedRateLimit.None ->
+                if (metadata.isSealed) pools.limits.recordUnlimited(instance, sentMs)
+
+            ReportedRateLimit.Invalid -> Unit
+        }
+    }
 }
