--- /dev/null
+++ b/gateway/forwarding/src/test/kotlin/org/hyssoprack/gateway/forwarding/ratelimit/FleetSimulation.kt
@@ -0,0 +1,217 @@
+package org.hyssoprack.gateway.forwarding.ratelimit
+
+import kotlin.math.ln
+import kotlin.random.Random
+import kotlinx.coroutines.CoroutineExceptionHandler
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.ExperimentalCoroutinesApi
+import kotlinx.coroutines.SupervisorJob
+import kotlinx.coroutines.cancel
+import kotlinx.coroutines.channels.Channel
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
+import kotlinx.coroutines.test.StandardTestDispatcher
+import kotlinx.coroutines.test.TestCoroutineScheduler
+import org.hyssoprack.common.BackendServerId
+import org.hyssoprack.common.FailureDomain
+import org.hyssoprack.common.HostId
+import org.hyssoprack.common.HostMessage
+import org.hyssoprack.common.HostRef
+import org.hyssoprack.common.Incarnation
+import org.hyssoprack.common.NetworkAddress
+import org.hyssoprack.common.Region
+import org.hyssoprack.common.ServiceId
+import org.hyssoprack.gateway.ResponseMetadata
+import org.hyssoprack.gateway.forwarding.slots.Slot
+import org.hyssoprack.gateway.forwarding.slots.SlotMessage
+import org.hyssoprack.link.Link
+import org.hyssoprack.link.ReceivedMessage
+import org.hyssoprack.membership.Member
+import org.hyssoprack.membership.MemberState
+import org.hyssoprack.membership.MemberView
+import org.hyssoprack.serving.fleet.RegisteredServer
+import org.hyssoprack.serving.limits.ReportedRateLimit
+import org.hyssoprack.serving.placement.SlotOutcome
+import org.hyssoprack.serving.placement.SlotResult
+import org.hyssoprack.serving.placement.WorkEstimate
+import org.hyssoprack.serving.queue.QueuedRequest
+
+/**
+ * Simulates hosts that share backend servers, in virtual time. Callers send requests at random
+ * times to random hosts.
+ *
+ * @param perS callers' requests per second.
+ * @param transform changes a message in transit; null loses it.
+ */
+@OptIn(ExperimentalCoroutinesApi::class)
+internal class FleetSimulation(
+    seed: Int,
+    private val perS: Double = 60.0,
+    hostCount: Int = 9,
+    serverCount: Int = 4,
+    private val transform: (SlotMessage) -> SlotMessage? = { it }
+) {
+    private val random = Random(seed)
+    private val scheduler = TestCoroutineScheduler()
+    private var fault: Throwable? = null
+    private val scope = CoroutineScope(
+        StandardTestDispatcher(scheduler) + SupervisorJob() +
+            CoroutineExceptionHandler { _, e -> fault = e }
+    )
+    private val service = ServiceId("s")
+    private var members: Map<HostId, Member>
+    val clock = SimulatedTime(scheduler)
+    val hosts: List<SimulatedHost>
+    val servers = List(serverCount) { LimitedServer(BackendServerId("b$it"), clock) }
+
+    /** Number of requests that got no slot. */
+    var refused = 0
+        private set
+
+    /** Longest time that a request waited before it was refused, in milliseconds. */
+    var longestRefusalMs = 0L
+        private set
+
+    init {
+        val refs = List(hostCount) { HostRef(HostId("h$it"), Incarnation(1)) }
+        members = refs.associate { it.host to member(it) }
+        hosts = refs.map {
+            SimulatedHost(
+                ref = it,
+                clock = SimulatedTime(scheduler, random.nextLong(-WALL_CLOCK_MS, WALL_CLOCK_MS)),
+                link = SimulatedLink(it),
+                random = random,
+                view = { MemberView(members) }
+            )
+        }
+        hosts.forEach { it.pools.updateServers(servers.map { server -> registered(server) }) }
+        hosts.forEach { host ->
+            repeatEvery(SLOTS_TICK_MS) { host.tickSlots() }
+            repeatEvery(QUEUE_TICK_MS) { host.pools.tick() }
+        }
+        scope.launch { sendRequests() }
+    }
+
+    /** The slot owner in the view of most hosts. */
+    fun owner(): SimulatedHost = hosts.first { it.slots.isOwner }
+
+    /** Lets [ms] milliseconds pass. */
+    fun run(ms: Long): FleetSimulation {
+        scheduler.advanceTimeBy(ms)
+        fault?.let { throw it }
+        return this
+    }
+
+    fun end() = scope.cancel()
+
+    fun setState(host: SimulatedHost, state: MemberState) {
+        members = members + (host.ref.host to members.getValue(host.ref.host).copy(state = state))
+    }
+
+    private fun repeatEvery(periodMs: Long, action: () -> Unit) = scope.launch {
+        delay(random.nextLong(periodMs))
+        while (true) {
+            action()
+            delay(periodMs)
+        }
+    }
+
+    private suspend fun sendRequests() {
+        while (true) {
+            delay((-ln(1 - random.nextDouble()) / perS * MS_PER_S).toLong())
+            val host = hosts.random(random)
+            scope.launch { serve(host) }
+        }
+    }
+
+    private suspend fun serve(host: SimulatedHost) {
+        val arrivedMs = clock.nowMs()
+        val request = QueuedRequest(
+            service = service,
+            work = WorkEstimate(),
+            rank = 0,
+            arrivedMs = arrivedMs,
+            targetMs = TARGET_MS,
+            giveUpMs = arrivedMs + GIVE_UP_MS,
+            endMs = arrivedMs + DEADLINE_MS
+        )
+        host.slots.client.acquire(request, charge = null).fold(
+            {
+                refused++
+                longestRefusalMs = maxOf(longestRefusalMs, clock.nowMs() - arrivedMs)
+            },
+            { use(host, it) }
+        )
+    }
+
+    private suspend fun use(host: SimulatedHost, slot: Slot) {
+        val server = servers.first { it.id == slot.state.server.id }
+        val sentMs = clock.nowMs()
+        delay(MESSAGE_MS)
+        server.arrive(host.ref.host)
+        delay(random.nextLong(1, 2 * WORK_MS))
+        val perS = server.perS
+        val limit = perS?.let { ReportedRateLimit.PerSecond(it) } ?: ReportedRateLimit.None
+        delay(MESSAGE_MS)
+        if (perS != null) server.named(host.ref.host)
+        val metadata = ResponseMetadata(
+            requestId = "r",
+            isSealed = true,
+            isNotRun = false,
+            isOtherServer = false,
+            rateLimit = limit
+        )
+        host.statusHandler.handleRateLimit(slot.state, metadata, sentMs)
+        slot.release(SlotResult(SlotOutcome.SUCCEEDED))
+    }
+
+    private inner class SimulatedLink(private val self: HostRef) : Link {
+        override val incoming = Channel<ReceivedMessage>()
+
+        override fun send(to: HostId, message: HostMessage) {
+            val sent = transform(message as SlotMessage) ?: return
+            val target = hosts.first { it.ref.host == to }
+            val source = hosts.first { it.ref == self }
+            scope.launch {
+                delay(MESSAGE_MS)
+                if (!target.isCutOff && !source.isCutOff) target.slots.receive(self, sent)
+            }
+        }
+
+        override fun sendTo(address: NetworkAddress, message: HostMessage) = Unit
+
+        override fun setAddress(host: HostId, address: NetworkAddress) = Unit
+
+        override suspend fun close() = Unit
+    }
+
+    private fun member(ref: HostRef) = Member(
+        ref = ref,
+        linkAddress = NetworkAddress("10.0.0.1", 1),
+        callerAddress = NetworkAddress("10.0.0.1", 2),
+        domain = FailureDomain("z"),
+        region = Region("r"),
+        capacity = 100
+    )
+
+    private fun registered(server: LimitedServer) = RegisteredServer(
+        id = server.id,
+        service = service,
+        address = NetworkAddress("10.0.0.2", 80),
+        domain = FailureDomain("z"),
+        slots = SLOTS
+    )
+
+    private companion object {
+        const val MS_PER_S = 1_000.0
+        const val SLOTS_TICK_MS = 150L
+        const val QUEUE_TICK_MS = 20L
+        const val MESSAGE_MS = 1L
+        const val WORK_MS = 100L
+        const val SLOTS = 9
+        const val TARGET_MS = 400L
+        const val GIVE_UP_MS = 1_000L
+        const val DEADLINE_MS = 4_000L
+        const val WALL_CLOCK_MS = 50L
+    }
+}
