Keep a server's rate limit for all hosts together

Cause: what a server states for all hosts together was read by no host. Knowing it on each host would not do either, since each could use the whole rate.

The slot owner now grants at the rate, by a token bucket that starts empty and fills in proportion to the hosts that report to it, as quotas do, so that owners that follow or doubt each other do not add up. A host that decides alone takes turns with the others by the wall clock, at a third of the rate between them. A limit ends when the server answers without it a request that was granted after the last naming, on the owner's own clock, so that late or reordered messages cannot lift it. A server without a token is no free server: no request waits for it while others can take it.

--- a/core/serving/src/main/kotlin/org/hyssoprack/serving/fleet/RegisteredServer.kt
+++ b/core/serving/src/main/kotlin/org/hyssoprack/serving/fleet/RegisteredServer.kt
@@ -22,7 +22,7 @@
     val bornMs: Long? = null
 ) {
     /** The server instance that wrote the entry. */
-    val instance: ServerInstance get() = ServerInstance(id = id, address = address, bornMs = bornMs)
+    val instance: ServerInstance = ServerInstance(id = id, address = address, bornMs = bornMs)
 
     /** Returns whether [other] describes the same server instance. */
     fun isSameInstance(other: RegisteredServer): Boolean = instance == other.instance
--- a/core/serving/src/main/kotlin/org/hyssoprack/serving/placement/ServerChooser.kt
+++ b/core/serving/src/main/kotlin/org/hyssoprack/serving/placement/ServerChooser.kt
@@ -28,7 +28,7 @@
             it.isOpen && it.server.id !in request.excludedServers && it.hasRoom(work)
         }
         if (usable.isEmpty()) return null
-        val present = candidates.filter { !it.server.isLeaving }
+        val present = candidates.filter { !it.server.isLeaving && it.isWithinRateLimit }
         val healthy = usable.filter { !it.isSuspect }.ifEmpty { usable }
         val limits = limitsOf(present, request, typical)
         val suitable = healthy.filter { meetsLimits(it, work, typical, limits) }
--- a/core/serving/src/main/kotlin/org/hyssoprack/serving/placement/ServerState.kt
+++ b/core/serving/src/main/kotlin/org/hyssoprack/serving/placement/ServerState.kt
@@ -2,12 +2,19 @@
 
 import org.hyssoprack.common.Clock
 import org.hyssoprack.serving.fleet.RegisteredServer
-
-/** This host's view of one backend server instance: its load, health and speed. */
+import org.hyssoprack.serving.fleet.ServerInstance
+import org.hyssoprack.serving.limits.ServerRateLimit
+
+/**
+ * This host's view of one backend server instance: its load, health and speed.
+ *
+ * @param rateLimitOf returns the request rate that a server accepts; null for any rate.
+ */
 class ServerState(
     server: RegisteredServer,
     private val clock: Clock,
-    private val memoryTokens: Long?
+    private val memoryTokens: Long?,
+    private val rateLimitOf: (ServerInstance) -> ServerRateLimit? = { null }
 ) {
     /** The server's current registration. */
     var server: RegisteredServer = server
@@ -56,6 +63,12 @@
         reportedMs = clock.nowMs()
     }
 
+    /** Request rate that the server accepts from all hosts; null for any rate. */
+    val rateLimit: ServerRateLimit? get() = rateLimitOf(server.instance)
+
+    /** Whether the server's rate limit allows a request now. */
+    val isWithinRateLimit: Boolean get() = rateLimit.let { it == null || it.waitMs() == 0L }
+
     /** Whether any request at all may be sent to the server now. */
     val isOpen: Boolean
         get() {
@@ -63,7 +76,8 @@
             return !server.isLeaving &&
                 nowMs >= fullUntilMs &&
                 nowMs >= closedUntilMs &&
-                load.running < server.slots
+                load.running < server.slots &&
+                isWithinRateLimit
         }
 
     /** Whether the server has a free slot and memory for [work]. */
--- a/core/serving/src/main/kotlin/org/hyssoprack/serving/placement/SlotResult.kt
+++ b/core/serving/src/main/kotlin/org/hyssoprack/serving/placement/SlotResult.kt
@@ -9,11 +9,13 @@
  * @property streamTokens tokens of a complete stream that this server alone generated, in
  *   [streamMs].
  * @property callMs time that a plain call took, in milliseconds.
+ * @property isUnlimited whether the server named no rate limit, though it had one.
  */
 @Serializable
 data class SlotResult(
     @SerialName("o") val outcome: SlotOutcome,
     @SerialName("t") val streamTokens: Int? = null,
     @SerialName("s") val streamMs: Long = 0,
-    @SerialName("c") val callMs: Long? = null
+    @SerialName("c") val callMs: Long? = null,
+    @SerialName("u") val isUnlimited: Boolean = false
 )
--- a/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/RequestForwarder.kt
+++ b/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/RequestForwarder.kt
@@ -105,6 +105,7 @@
             call = checked
             if (progress.grantedMs == null) progress.grantedMs = clock.nowMs()
             progress.triedServers += slot.state.server.id
+            progress.limitPerS = slot.state.rateLimit?.perS
             progress.attempts++
             val result = attempt(request, call, slot, progress, relay).run()
             return resultOf(result, call, progress) ?: continue
--- a/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/RequestProgress.kt
+++ b/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/RequestProgress.kt
@@ -12,6 +12,9 @@
     /** Servers that were tried, in order. */
     val triedServers = LinkedHashSet<BackendServerId>()
 
+    /** Rate limit of the last server that was granted, in requests per second; null for none. */
+    var limitPerS: Double? = null
+
     /** Number of attempts, including repeated ones on the same server. */
     var attempts = 0
 
--- a/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/RequestTelemetry.kt
+++ b/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/RequestTelemetry.kt
@@ -43,6 +43,7 @@
             "code" eq codeOf(end),
             "detail" eq detailOf(end),
             "servers" eq progress.triedServers.joinToString(","),
+            "limitPerS" eq progress.limitPerS,
             "arrivals" eq progress.arrivals,
             "queuedMs" eq progress.grantedMs?.minus(call.arrivedMs),
             "firstMs" eq progress.firstByteMs?.minus(call.arrivedMs),
--- a/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/ServerAttempt.kt
+++ b/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/ServerAttempt.kt
@@ -41,6 +41,7 @@
     private val state = slot.state
     private val startMs = clock.nowMs()
     private var promptRead = false
+    private var isUnlimited = false
     private var firstMs = 0L
 
     /**
@@ -52,7 +53,7 @@
     suspend fun run(): AttemptResult {
         try {
             val end = sendAndRelay()
-            slot.release(resultOf(end))
+            slot.release(resultOf(end).copy(isUnlimited = isUnlimited))
             return end
         } finally {
             // Has an effect only if the caller has disconnected.
@@ -113,7 +114,7 @@
                 metadata.requestId != null && metadata.requestId != call.metadata.id
             if (isOtherRequest) continue
             if (!metadata.isOtherServer) {
-                statusHandler.handleRateLimit(state, metadata, startMs)
+                isUnlimited = statusHandler.handleRateLimit(state, metadata, startMs)
             }
             return relayMatching(connection, head, metadata)
         }
--- a/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/ServerPool.kt
+++ b/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/ServerPool.kt
@@ -9,8 +9,10 @@
 import org.hyssoprack.common.BackendServerId
 import org.hyssoprack.common.Clock
 import org.hyssoprack.common.Failure
+import org.hyssoprack.common.NoOpEventLog
 import org.hyssoprack.common.ResultCode
 import org.hyssoprack.serving.fleet.RegisteredServer
+import org.hyssoprack.serving.fleet.ServerLimitRegistry
 import org.hyssoprack.serving.limits.SlidingWindowSum
 import org.hyssoprack.serving.placement.ServerChooser
 import org.hyssoprack.serving.placement.ServerState
@@ -25,7 +27,8 @@
     private val clock: Clock,
     private val chooser: ServerChooser,
     private val observer: QueueObserver = NoOpQueueObserver,
-    private val retryAfter: RetryAfterPolicy = RetryAfterPolicy()
+    private val retryAfter: RetryAfterPolicy = RetryAfterPolicy(),
+    private val limits: ServerLimitRegistry = ServerLimitRegistry(clock, NoOpEventLog)
 ) {
     private val states = LinkedHashMap<BackendServerId, ServerState>()
     private val queue = DispatchQueue()
@@ -53,7 +56,7 @@
             val previous = old[server.id]
             states[server.id] = when {
                 previous == null || !previous.server.isSameInstance(server) ->
-                    ServerState(server, clock, spec?.engine?.memoryTokens)
+                    ServerState(server, clock, spec?.engine?.memoryTokens, limits::get)
 
                 previous.server == server -> previous
 
@@ -105,9 +108,11 @@
         val slots = states.values.sumOf { it.server.slots }
         val used = states.values.sumOf { it.load.running }
         val open = states.values.count { it.isOpen }
+        val limited = states.values.mapNotNull { it.rateLimit?.perS }
         return "$ahead of ${queue.size} waiting requests go before it; " +
             "$grants slots were granted in the last $RATE_WINDOW_MS ms; " +
-            "$used of $slots slots are used, $open of ${states.size} servers are open."
+            "$used of $slots slots are used, $open of ${states.size} servers are open, " +
+            "${limited.size} accept a limited rate: ${limited.sum()} requests per second."
     }
 
     /** Removes a waiting request. */
@@ -154,6 +159,7 @@
         if (!result.isCompleted || result.isCancelled) return
         result.getCompleted().onRight {
             it.recordEnd(request.work, promptRead = false, request.isRelayedHere)
+            it.rateLimit?.giveBack()
         }
     }
 
@@ -167,6 +173,7 @@
         val state =
             chooser.choose(candidates, request.placement(nowMs), typical(nowMs)) ?: return null
         state.recordDispatch(request.work, request.isRelayedHere)
+        state.rateLimit?.take()
         granted.add(nowMs, 1.0)
         queue.recordGrant(request, typical(nowMs).slotMs(request.work), nowMs)
         return state
--- a/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/ServerPools.kt
+++ b/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/ServerPools.kt
@@ -30,7 +30,7 @@
 
     /** The pool of [service]; empty if no server is registered for it. */
     operator fun get(service: ServiceId): ServerPool =
-        pools.getOrPut(service) { ServerPool(clock, chooser, observer) }
+        pools.getOrPut(service) { ServerPool(clock, chooser, observer, limits = limits) }
 
     /** Updates the pools to the services of new settings. */
     fun updateServices(services: Map<ServiceId, ServiceSpec>) {
@@ -83,6 +83,7 @@
     fun tick() = pools.values.forEach { it.dispatchWaiting() }
 
     private fun refresh() {
+        limits.forgetOthers(registered.mapTo(HashSet()) { it.instance })
         val byService = registered.map { leavingServers.withLeavingFlag(it) }.groupBy { it.service }
         (pools.keys + byService.keys).toSet().forEach { service ->
             this[service].update(byService[service].orEmpty(), specs[service])
--- a/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/ServerStatusHandler.kt
+++ b/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/ServerStatusHandler.kt
@@ -27,17 +27,24 @@
 
     /**
      * Applies the rate limit in [metadata] of the server's response to a request that was sent at
-     * [sentMs]. Only a genuine response ends a limit.
+     * [sentMs]. Only a genuine response ends a limit. Returns whether the response speaks against a
+     * limit that is in force.
      */
-    fun handleRateLimit(state: ServerState, metadata: ResponseMetadata, sentMs: Long) {
+    fun handleRateLimit(state: ServerState, metadata: ResponseMetadata, sentMs: Long): Boolean {
         val instance = state.server.instance
-        when (val limit = metadata.rateLimit) {
-            is ReportedRateLimit.PerSecond -> pools.limits.recordNamed(instance, limit.perS)
+        return when (val limit = metadata.rateLimit) {
+            is ReportedRateLimit.PerSecond -> {
+                pools.limits.recordNamed(instance, limit.perS)
+                false
+            }
 
-            ReportedRateLimit.None ->
-                if (metadata.isSealed) pools.limits.recordUnlimited(instance, sentMs)
+            ReportedRateLimit.None -> {
+                if (!metadata.isSealed || pools.limits[instance] == null) return false
+                pools.limits.recordUnlimited(instance, sentMs)
+                true
+            }
 
-            ReportedRateLimit.Invalid -> Unit
+            ReportedRateLimit.Invalid -> false
         }
     }
 }
--- a/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/slots/Lease.kt
+++ b/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/slots/Lease.kt
@@ -37,6 +37,10 @@
     var isPromptRead = false
         private set
 
+    /** Whether another host granted the slot. */
+    var isAdopted = false
+        private set
+
     fun granted(state: ServerState, nowMs: Long) {
         waiting = null
         this.state = state
@@ -48,6 +52,7 @@
     fun adopted(state: ServerState, nowMs: Long, isPromptRead: Boolean) {
         state.recordDispatch(work, isRelayedHere)
         granted(state, nowMs)
+        isAdopted = true
         if (isPromptRead) recordPromptRead()
     }
 
--- a/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/slots/ServingHosts.kt
+++ b/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/slots/ServingHosts.kt
@@ -10,6 +10,7 @@
 import org.hyssoprack.membership.MemberView
 import org.hyssoprack.membership.Ownership
 import org.hyssoprack.membership.RendezvousOwnership
+import org.hyssoprack.serving.limits.HostPosition
 
 /**
  * The serving hosts in this host's member view, and the choice of the slot owner among them.
@@ -78,6 +79,12 @@
     /** Returns the number of hosts that may be serving, this one included. */
     fun count(): Int = countedPeers().size + 1
 
+    /** Returns this host's position among the hosts that may be serving. */
+    fun position(): HostPosition {
+        val peers = countedPeers().map { it.ref.host.value }
+        return HostPosition(index = peers.count { it < self.host.value }, count = peers.size + 1)
+    }
+
     /**
      * Returns the share of the hosts that may be serving, this one included, for which
      * [isReporting] holds. This host counts like any other: while it uses another owner, its own
--- a/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/slots/SlotClient.kt
+++ b/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/slots/SlotClient.kt
@@ -99,7 +99,8 @@
         val isNew = owner != knownOwner
         if (isNew) ownerChanged(owner)
         val nowMs = clock.nowMs()
-        val isDue = nowMs - reportedMs >= REPORT_MS || pools.leaving.size > reportedLeaving
+        val hasNews = pools.leaving.size > reportedLeaving || pools.limits.hasNews
+        val isDue = nowMs - reportedMs >= REPORT_MS || hasNews
         if (owner != null && isDue) report(owner, isFirst = isNew)
         if (statusMs.let { it != null && nowMs - it > STATUS_LIFETIME_MS }) {
             statusMs = null
@@ -113,11 +114,12 @@
         unresponsiveUntilMs = null
         reportedMs = Long.MIN_VALUE / 2
         if (owner == self.host) pools.clearPeerLoads()
+        pools.limits.ownerChanged()
     }
 
     /**
      * @param isFirst whether [to] lacks the data of the previous owner, so that the report includes
-     *   the used shares.
+     *   the used shares and all rate limits.
      */
     private fun report(to: HostId, isFirst: Boolean) {
         val nowMs = clock.nowMs()
@@ -139,7 +141,9 @@
             )
         }
         val usedShares = if (isFirst) quota.usedShares.orEmpty() else emptyMap()
-        send(to, SlotMessage.Report(slots, quota.recent(), usedShares, pools.leaving.toSet()))
+        val limits = if (isFirst) pools.limits.all() else pools.limits.takeUnreported()
+        val leaving = pools.leaving.toSet()
+        send(to, SlotMessage.Report(slots, quota.recent(), usedShares, leaving, limits))
     }
 
     private fun updateStatus(from: HostRef, status: SlotMessage.OwnerStatus) {
@@ -147,6 +151,7 @@
         quota.updateUsedShares(status.usedShares)
         status.leaving.forEach { pools.markLeaving(it) }
         if (from.host == self.host) return
+        pools.limits.confirm(status.limits, from.host)
         statusMs = clock.nowMs()
         pools.setFleetLoads(status.loads)
     }
@@ -190,7 +195,7 @@
             val pendingRequest = PendingRequest(owner)
             pending[number] = pendingRequest
             try {
-                send(owner, requestOf(number, request, charge, unusable))
+                send(owner, requestOf(owner, number, request, charge, unusable))
                 when (val decision = decisionOf(owner, pendingRequest, request) ?: return null) {
                     is SlotMessage.Refused -> {
                         pendingRequest.isDecisionUsed = true
@@ -255,6 +260,10 @@
     ): Slot? {
         val state = pools[request.service].state(granted.server) ?: return null
         if (state.server.isLeaving || state.closedMs > 0) return null
+        if (!isRateLimitKept(owner, state)) {
+            if (!state.isWithinRateLimit) return null
+            state.rateLimit?.take()
+        }
         if (charge != null && charge.chargedBy == null) {
             charge.chargedBy = QuotaCharge.ChargedBy.Owner(owner)
             quota.record(charge.account.name, charge.amount)
@@ -264,6 +273,10 @@
         return slot(granted.number, request, owner, granted.promptTokens, !isOwn, state)
     }
 
+    /** Returns whether [owner] keeps the server's rate limit, so that this host need not. */
+    private fun isRateLimitKept(owner: HostId, state: ServerState): Boolean = owner == self.host ||
+        (owner == knownOwner && pools.limits.isConfirmed(state.server.instance))
+
     private suspend fun acquireLocally(
         request: QueuedRequest,
         charge: QuotaCharge?
@@ -299,6 +312,7 @@
     }
 
     private fun requestOf(
+        owner: HostId,
         number: Long,
         request: QueuedRequest,
         charge: QuotaCharge?,
@@ -321,13 +335,17 @@
             endMs = request.endMs - nowMs,
             patienceMs = request.patienceMs,
             tried = request.avoid,
-            excludedServers = excludedServers(request.service) + unusable
+            excludedServers = excludedServers(owner, request.service) + unusable
         )
     }
 
-    private fun excludedServers(service: ServiceId): Set<BackendServerId> = pools[service].servers
-        .filter { it.server.isLeaving || it.closedMs > 0 }
-        .mapTo(HashSet()) { it.server.id }
+    private fun excludedServers(owner: HostId, service: ServiceId): Set<BackendServerId> =
+        pools[service].servers
+            .filter { it.server.isLeaving || it.closedMs > 0 || isRateExceeded(owner, it) }
+            .mapTo(HashSet()) { it.server.id }
+
+    private fun isRateExceeded(owner: HostId, state: ServerState): Boolean =
+        !state.isWithinRateLimit && !isRateLimitKept(owner, state)
 
     private fun failureOf(refused: SlotMessage.Refused) = Failure(
         code = ResultCode.ofNumber(refused.code) ?: ResultCode.NO_BACKEND_SERVER,
--- a/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/slots/SlotMessage.kt
+++ b/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/slots/SlotMessage.kt
@@ -11,6 +11,7 @@
 import org.hyssoprack.common.HostMessage
 import org.hyssoprack.common.ServiceId
 import org.hyssoprack.serving.fleet.ServerInstance
+import org.hyssoprack.serving.fleet.ServerLimit
 import org.hyssoprack.serving.placement.PeerLoad
 import org.hyssoprack.serving.placement.SlotResult
 import org.hyssoprack.serving.placement.WorkEstimate
@@ -127,6 +128,8 @@
      * @property usedShares used shares of quotas at the previous owner; only in the first report to
      *   an owner.
      * @property leaving server instances that announced their shutdown.
+     * @property limits rate limits that servers named, as far as the owner may not know them; all in
+     *   the first report to an owner.
      */
     @Serializable
     @SerialName("st")
@@ -134,7 +137,8 @@
         @SerialName("r") val running: List<RunningSlot> = emptyList(),
         @SerialName("u") val used: Map<ClientAccount, Double> = emptyMap(),
         @SerialName("t") val usedShares: Map<ClientAccount, Double> = emptyMap(),
-        @SerialName("l") val leaving: Set<ServerInstance> = emptySet()
+        @SerialName("l") val leaving: Set<ServerInstance> = emptySet(),
+        @SerialName("m") val limits: List<ServerLimit> = emptyList()
     ) : SlotMessage
 
     /** Requests a [Report] from a host that has not sent one to this owner. */
@@ -153,13 +157,15 @@
      *
      * @property usedShares used share of accounts' quotas; 0 for accounts that are left out.
      * @property loads load of all hosts on each server.
+     * @property limits rate limits that the owner keeps.
      */
     @Serializable
     @SerialName("sn")
     data class OwnerStatus(
         @SerialName("t") val usedShares: Map<ClientAccount, Double> = emptyMap(),
         @SerialName("o") val loads: Map<BackendServerId, PeerLoad> = emptyMap(),
-        @SerialName("l") val leaving: Set<ServerInstance> = emptySet()
+        @SerialName("l") val leaving: Set<ServerInstance> = emptySet(),
+        @SerialName("m") val limits: List<ServerLimit> = emptyList()
     ) : SlotMessage
 }
 
--- a/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/slots/SlotOwner.kt
+++ b/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/slots/SlotOwner.kt
@@ -41,6 +41,7 @@
     private val clients = HashMap<HostRef, Client>()
     private var statusMs = Long.MIN_VALUE / 2
     private var sentShares: Map<ClientAccount, Double> = emptyMap()
+    private var sentLimitChanges = 0
 
     private class Client(var reportedMs: Long?) {
         val leases = HashMap<Long, Lease>()
@@ -72,8 +73,8 @@
 
     /**
      * Sends the [SlotMessage.OwnerStatus] to the hosts that report: at intervals, and immediately
-     * if the usage of an account has grown by [STATUS_GROWTH]. Drops expired leases. Called several
-     * times a second.
+     * if a rate limit has changed or the usage of an account has grown by [STATUS_GROWTH]. Drops
+     * expired leases. Called several times a second.
      */
     fun tick() {
         if (clients.isEmpty()) return
@@ -84,7 +85,8 @@
         }
         val isDue = nowMs - statusMs >= STATUS_MS
         if (isDue) dropExpired(nowMs)
-        if (isDue || hasGrown) sendStatus(usedShares)
+        val isLimitChanged = pools.limits.changes != sentLimitChanges
+        if (isDue || hasGrown || isLimitChanged) sendStatus(usedShares)
     }
 
     private fun dropExpired(nowMs: Long) {
@@ -97,12 +99,14 @@
     private fun sendStatus(usedShares: Map<ClientAccount, Double>) {
         sentShares = usedShares
         statusMs = clock.nowMs()
+        sentLimitChanges = pools.limits.changes
         val hosts = reportingHosts(FRESH_MS)
         if (hosts.isEmpty()) return
         val status = SlotMessage.OwnerStatus(
             usedShares = usedShares,
             loads = pools.loads(),
-            leaving = pools.leaving
+            leaving = pools.leaving,
+            limits = pools.limits.all()
         )
         hosts.forEach { send(it, status) }
     }
@@ -187,6 +191,7 @@
     private fun cancelled(from: HostRef, number: Long) {
         val lease = clients[from]?.leases?.remove(number) ?: return
         lease.account?.let { refund(from, it, lease.quota) }
+        if (!lease.isAdopted) lease.state?.rateLimit?.giveBack()
         free(lease)
     }
 
@@ -199,9 +204,17 @@
     private fun ended(from: HostRef, message: SlotMessage.Ended) {
         val lease = clients[from]?.leases?.remove(message.number) ?: return
         lease.state?.recordResult(message.result)
+        if (message.result.isUnlimited) limitEnded(from, lease)
         free(lease)
     }
 
+    // The time at which another host granted a slot is not known here.
+    private fun limitEnded(from: HostRef, lease: Lease) {
+        val state = lease.state ?: return
+        if (lease.isAdopted) return
+        pools.limits.recordUnlimited(state.server.instance, lease.grantedMs, from.host)
+    }
+
     private fun refund(from: HostRef, name: ClientAccount, quota: Double) {
         accounts()[name]?.let { quotas.refund(from, it, quota) }
     }
@@ -211,6 +224,7 @@
         val client = client(from)
         client.reportedMs = nowMs
         report.leaving.forEach { pools.markLeaving(it) }
+        report.limits.forEach { pools.limits.recordNamed(it, from.host) }
         quotas.inherit(accounts().values, report.usedShares)
         quotas.reconcile(from, report.used)
         val running = report.running.associateBy { it.number }
--- a/gateway/forwarding/src/test/kotlin/org/hyssoprack/gateway/forwarding/ratelimit/FleetSimulation.kt
+++ b/gateway/forwarding/src/test/kotlin/org/hyssoprack/gateway/forwarding/ratelimit/FleetSimulation.kt
@@ -68,8 +68,8 @@
     var refused = 0
         private set
 
-    /** Longest time that a request waited before it was refused, in milliseconds. */
-    var longestRefusalMs = 0L
+    /** Number of requests that were refused after they had waited. */
+    var refusedAfterWait = 0
         private set
 
     init {
@@ -138,7 +138,7 @@
         host.slots.client.acquire(request, charge = null).fold(
             {
                 refused++
-                longestRefusalMs = maxOf(longestRefusalMs, clock.nowMs() - arrivedMs)
+                if (clock.nowMs() - arrivedMs > AT_ONCE_MS) refusedAfterWait++
             },
             { use(host, it) }
         )
@@ -161,8 +161,8 @@
             isOtherServer = false,
             rateLimit = limit
         )
-        host.statusHandler.handleRateLimit(slot.state, metadata, sentMs)
-        slot.release(SlotResult(SlotOutcome.SUCCEEDED))
+        val isUnlimited = host.statusHandler.handleRateLimit(slot.state, metadata, sentMs)
+        slot.release(SlotResult(SlotOutcome.SUCCEEDED, isUnlimited = isUnlimited))
     }
 
     private inner class SimulatedLink(private val self: HostRef) : Link {
@@ -213,5 +213,8 @@
         const val GIVE_UP_MS = 1_000L
         const val DEADLINE_MS = 4_000L
         const val WALL_CLOCK_MS = 50L
+
+        // A round trip to the slot owner takes less.
+        const val AT_ONCE_MS = 10L
     }
 }
--- a/gateway/forwarding/src/test/kotlin/org/hyssoprack/gateway/forwarding/ratelimit/SimulatedHost.kt
+++ b/gateway/forwarding/src/test/kotlin/org/hyssoprack/gateway/forwarding/ratelimit/SimulatedHost.kt
@@ -25,19 +25,25 @@
     view: () -> MemberView
 ) {
     private val domain = FailureDomain("z")
-    val pools = ServerPools(
+    val pools: ServerPools = ServerPools(
         clock = clock,
         chooser = ServerChooser(domain, random),
-        limits = ServerLimitRegistry(clock, NoOpEventLog)
+        limits = ServerLimitRegistry(
+            clock = clock,
+            log = NoOpEventLog,
+            ownerShare = { slots.reportingShare() },
+            position = { hosts.position() }
+        )
     )
     val statusHandler = ServerStatusHandler(pools, NoOpEventLog)
-    val slots = SlotService(
+    private val hosts = ServingHosts(ref, view, clock, settleMs = 0)
+    val slots: SlotService = SlotService(
         self = ref,
         domain = domain,
         link = link,
         pools = pools,
         quotas = QuotaLedger(clock, { QuotaTolerance(windowMs = WINDOW_MS) }) { 1.0 },
-        hosts = ServingHosts(ref, view, clock, settleMs = 0),
+        hosts = hosts,
         quotaWindowMs = WINDOW_MS,
         accounts = { emptyMap() },
         isReady = { isReady },
--- a/gateway/forwarding/src/test/kotlin/org/hyssoprack/gateway/forwarding/slots/ServingHostsTest.kt
+++ b/gateway/forwarding/src/test/kotlin/org/hyssoprack/gateway/forwarding/slots/ServingHostsTest.kt
@@ -14,6 +14,7 @@
 import org.hyssoprack.membership.Member
 import org.hyssoprack.membership.MemberState
 import org.hyssoprack.membership.MemberView
+import org.hyssoprack.serving.limits.HostPosition
 
 class ServingHostsTest {
     private val clock = ManualClock(100_000)
@@ -61,6 +62,14 @@
         assertThat(hosts.reportingShare({ it in reporting }, { true })).isEqualTo(1.0 / 3)
     }
 
+    @Example
+    fun `hosts with the same members have different positions, dead ones have none`() {
+        val dead = member("c", 100).copy(state = MemberState.DEAD)
+        val members = listOf(member("b", 100), dead, member("d", 100), member("a", 100))
+        val positions = listOf("a", "b", "d").map { hosts(it, members).position() }
+        assertThat(positions).isEqualTo(List(3) { HostPosition(index = it, count = 3) })
+    }
+
     private fun hosts(name: String, members: List<Member>): ServingHosts {
         val view = MemberView(members.associateBy { it.ref.host })
         return ServingHosts(HostRef(HostId(name), Incarnation(1)), { view }, clock, 8_000)
--- a/gateway/forwarding/src/test/kotlin/org/hyssoprack/gateway/forwarding/slots/SlotClientTest.kt
+++ b/gateway/forwarding/src/test/kotlin/org/hyssoprack/gateway/forwarding/slots/SlotClientTest.kt
@@ -158,6 +158,51 @@
         assertThat(quota.recent().isEmpty()).isTrue()
     }
 
+    @Example
+    fun `a limit that the owner has not confirmed keeps requests away from the server`() {
+        val instance = pools[service].state(server)!!.server.instance
+        class Case(val name: String, val isExcluded: Boolean, val event: () -> Unit)
+        val cases = listOf(
+            Case("named to this host", isExcluded = true) {
+                pools.limits.recordNamed(instance, perS = 0.001)
+            },
+            Case("confirmed by the owner", isExcluded = false) {
+                client.receive(first, SlotMessage.OwnerStatus(limits = pools.limits.all()))
+            },
+            Case("the owner changes", isExcluded = true) {
+                owner = second.host
+                client.tick()
+            }
+        )
+        for (case in cases) {
+            case.event()
+            runBlocking {
+                val acquiring = async { client.acquire(request(), charge = null) }
+                lastRequest(HostRef(owner!!, first.incarnation))
+                val sentRequest = sent.last { it.second is SlotMessage.Request }.second
+                val excluded = (sentRequest as SlotMessage.Request).excludedServers
+                assertThat(server in excluded, case.name).isEqualTo(case.isExcluded)
+                acquiring.cancelAndJoin()
+            }
+        }
+    }
+
+    @Example
+    fun `a limit is reported at once, and to a new owner again`() {
+        val instance = pools[service].state(server)!!.server.instance
+        sent.clear()
+        pools.limits.recordNamed(instance, perS = 2.0)
+        client.tick()
+        assertThat(reportedLimits(first)).isEqualTo(listOf(2.0))
+        client.receive(first, SlotMessage.OwnerStatus(limits = pools.limits.all()))
+        owner = second.host
+        client.tick()
+        assertThat(reportedLimits(second)).isEqualTo(listOf(2.0))
+    }
+
+    private fun reportedLimits(to: HostRef): List<Double> =
+        (sent.last { it.first == to.host }.second as SlotMessage.Report).limits.map { it.perS }
+
     /**
      * Runs the acquiring coroutine until it waits, and returns the number of its request to [host].
      */
--- a/gateway/forwarding/src/test/kotlin/org/hyssoprack/gateway/forwarding/slots/SlotOwnerTest.kt
+++ b/gateway/forwarding/src/test/kotlin/org/hyssoprack/gateway/forwarding/slots/SlotOwnerTest.kt
@@ -18,6 +18,7 @@
 import org.hyssoprack.common.ServiceId
 import org.hyssoprack.gateway.forwarding.ServerPools
 import org.hyssoprack.serving.fleet.RegisteredServer
+import org.hyssoprack.serving.fleet.ServerLimit
 import org.hyssoprack.serving.limits.QuotaLedger
 import org.hyssoprack.serving.limits.QuotaTolerance
 import org.hyssoprack.serving.limits.RecordedUsage
@@ -117,8 +118,7 @@
 
     @Example
     fun `a new owner takes over the requests that hosts report as running`() {
-        val running = RunningSlot(number = 7, service = service, server = server, endMs = 9_000)
-        owner.receive(a, SlotMessage.Report(running = listOf(running)))
+        owner.receive(a, SlotMessage.Report(running = listOf(running(7))))
         owner.receive(b, request(1))
         assertThat(last(b)).isInstanceOf<SlotMessage.Queued>()
         owner.receive(a, SlotMessage.Ended(7, SlotResult(SlotOutcome.SUCCEEDED)))
@@ -168,6 +168,70 @@
         assertThat(grantsOf(b)).isEqualTo(1)
     }
 
+    @Example
+    fun `only a request that was granted here after the last naming ends a limit`() {
+        class Case(val name: String, val isEnded: Boolean, val events: () -> Unit)
+        val unlimited = SlotResult(SlotOutcome.SUCCEEDED, isUnlimited = true)
+        val cases = listOf(
+            Case("granted after the naming", isEnded = true) {
+                report(a, ageMs = 10)
+                clock.advance(1_000)
+                owner.receive(b, request(1))
+                owner.receive(b, SlotMessage.Ended(1, unlimited))
+            },
+            Case("granted before the naming", isEnded = false) {
+                owner.receive(b, request(1))
+                clock.advance(1_000)
+                report(a, ageMs = 10)
+                owner.receive(b, SlotMessage.Ended(1, unlimited))
+            },
+            Case("granted by another host", isEnded = false) {
+                report(a, ageMs = 10)
+                clock.advance(1_000)
+                owner.receive(b, SlotMessage.Report(running = listOf(running(1))))
+                owner.receive(b, SlotMessage.Ended(1, unlimited))
+            }
+        )
+        for (case in cases) {
+            case.events()
+            assertThat(pools.limits[instance] == null, case.name).isEqualTo(case.isEnded)
+            clock.advance(10_000)
+            pools.limits.recordUnlimited(instance, clock.nowMs())
+            clock.advance(1_000)
+        }
+    }
+
+    @Example
+    fun `a grant that is returned unused does not count against a limit`() {
+        report(a, ageMs = 0)
+        clock.advance(1_000)
+        repeat(3) {
+            owner.receive(b, request(1))
+            assertThat(last(b)).isInstanceOf<SlotMessage.Granted>()
+            owner.receive(b, SlotMessage.Cancelled(1))
+        }
+    }
+
+    @Example
+    fun `hosts learn of a limit at once`() {
+        owner.tick()
+        sent.clear()
+        report(a, ageMs = 10)
+        owner.tick()
+        val status = last(b) as SlotMessage.OwnerStatus
+        assertThat(status.limits).isEqualTo(listOf(ServerLimit(instance, 1.0, ageMs = 10)))
+    }
+
+    private val instance get() = pools[service].state(server)!!.server.instance
+
+    private fun report(from: HostRef, ageMs: Long) = owner.receive(
+        from,
+        SlotMessage.Report(limits = listOf(ServerLimit(instance, perS = 1.0, ageMs = ageMs)))
+    )
+
+    private fun running(number: Long) =
+        RunningSlot(number = number, service = service, server = server, endMs = 9_000)
+
     private fun request(number: Long, quota: Double = 0.0) = SlotMessage.Request(
         number = number,
         service = service,
