Refuse at once what the rate limits of all servers leave no time for

While every server of a service limits its rate, a queue was judged by the grants of the last second: at low rates there are none, so each request waited its whole time and was refused then. The rate is known, so the place in the queue gives the time of its grant. Those that come too late get 2012 servers-limited at once, with a Retry-After for their place; so do late requests while more arrive than the limits admit, since later ones would always pass them.

--- a/core/explain/src/main/kotlin/org/hyssoprack/explain/Cause.kt
+++ b/core/explain/src/main/kotlin/org/hyssoprack/explain/Cause.kt
@@ -20,6 +20,9 @@
     /** Most of the time passed before a slot was granted, or none was free in time. */
     QUEUEING,
 
+    /** All backend servers of the service accept a limited rate of requests. */
+    SERVER_LIMIT,
+
     /** Most of the time passed at the backend server. */
     SLOW_SERVER,
 
--- a/core/explain/src/main/kotlin/org/hyssoprack/explain/RequestExplainer.kt
+++ b/core/explain/src/main/kotlin/org/hyssoprack/explain/RequestExplainer.kt
@@ -67,6 +67,7 @@
         val code = end["code"].orEmpty()
         return when {
             code in CALLER_LEFT_CODES -> explanation(Cause.CALLER_LEFT, end, "The caller left.")
+            code == ResultCode.SERVERS_LIMITED.wireName -> limited(end)
             code in NO_SLOT_CODES -> queued(end, "No slot was free in time: ${end["detail"]}")
             code in SERVER_FAILURE_CODES || isServerError(code) -> serverFailed(end)
             isMostlyQueued(end) -> queued(end, queueingSummary(end))
@@ -99,6 +100,18 @@
         return Explanation(Cause.QUEUEING, summary, listOf(end.line, count))
     }
 
+    private fun limited(end: HostEvent): Explanation {
+        val limits = events.filter { it.name == "server-limit" && it.host == end.host }
+            .takeWhile { it.ms <= end.ms }
+            .groupBy { it["server"] }
+            .mapNotNull { (_, changes) -> changes.last().takeIf { it["change"] != "ended" } }
+        return Explanation(
+            cause = Cause.SERVER_LIMIT,
+            summary = "The rate limits of the servers left no request in time: ${end["detail"]}",
+            evidence = listOf(end.line) + limits.map { it.line }
+        )
+    }
+
     private fun serverFailed(end: HostEvent): Explanation {
         val server = end["servers"].orEmpty().substringAfterLast(',')
         val others = events
--- a/core/explain/src/test/kotlin/org/hyssoprack/explain/RequestExplainerTest.kt
+++ b/core/explain/src/test/kotlin/org/hyssoprack/explain/RequestExplainerTest.kt
@@ -65,6 +65,18 @@
                 "No slot",
                 ended("10.000", "x", "deadline-unreachable", "queuedMs=null totalMs=400")
             ),
+            Case(
+                "every server is limited",
+                Cause.SERVER_LIMIT,
+                "2.0 requests per second",
+                "09.000 event=server-limit self=a change=learnt server=s1 perS=2.0",
+                ended(
+                    "10.000",
+                    "x",
+                    "servers-limited",
+                    "detail=\"2.0 requests per second\" totalMs=4"
+                )
+            ),
             Case(
                 "late at the server",
                 Cause.SLOW_SERVER,
--- a/core/serving/src/main/kotlin/org/hyssoprack/serving/limits/ServerRateLimit.kt
+++ b/core/serving/src/main/kotlin/org/hyssoprack/serving/limits/ServerRateLimit.kt
@@ -22,6 +22,13 @@
     private val bucket = TokenBucket(clock)
     private val turns = HostTurns(clock, offset)
 
+    /** Requests per second that this host may grant or send. */
+    val hostPerS: Double
+        get() {
+            val granted = grantedPerMs()
+            return MS_PER_S * if (granted > 0) granted else alonePerMs() / position().count
+        }
+
     /** Time until a request may be sent to the server, in milliseconds; 0 if one may now. */
     fun waitMs(): Long {
         val perMs = grantedPerMs()
--- a/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/ServerPool.kt
+++ b/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/ServerPool.kt
@@ -34,6 +34,7 @@
     private val queue = DispatchQueue()
     private val waiting = HashMap<QueuedRequest, Waiter>()
     private val granted = SlidingWindowSum(RATE_WINDOW_MS)
+    private val requested = SlidingWindowSum(DEMAND_WINDOW_MS)
     private var typical = TypicalSpeed.of(emptyList())
     private var typicalMs = Long.MIN_VALUE / 2
     private var isDispatching = false
@@ -89,9 +90,10 @@
         val nowMs = clock.nowMs()
         val waiter = Waiter(nowMs, settle)
         queue.recordRequest(request, nowMs)
+        requested.add(nowMs, 1.0)
         rejectionOf(request)?.let { return settle(request, waiter, it.left()) }
         if (queue.size == 0) grant(request)?.let { return settle(request, waiter, it.right()) }
-        if (isExpectedToExpire(request)) {
+        if (!areAllLimited() && isExpectedToExpire(request)) {
             val failure = rejection(request, ResultCode.QUEUE_FULL, queueStatus(request))
             return settle(request, waiter, failure.left())
         }
@@ -132,14 +134,40 @@
             val nowMs = clock.nowMs()
             queue.takeExpired(nowMs).forEach {
                 val detail = "No slot was granted in time: ${queueStatus(it)}"
-                settle(it, rejection(it, ResultCode.DEADLINE_UNREACHABLE, detail).left())
+                settle(it, rejection(it, expiryCode(), detail).left())
             }
             grantWaiting(nowMs)
+            if (areAllLimited()) refuseUnreachable(nowMs)
         } finally {
             isDispatching = false
         }
     }
 
+    /**
+     * Rejects the requests that the rate limits of the servers do not admit in time. While more
+     * requests arrive than the limits admit, later ones that can be on time go ahead of those that
+     * cannot, which therefore do not wait.
+     */
+    private fun refuseUnreachable(nowMs: Long) {
+        val admittedPerWindow = hostPerS() * DEMAND_WINDOW_MS / MS_PER_S
+        val isOverloaded = requested.total(nowMs) > admittedPerWindow
+        var ahead = 0
+        for (request in queue.ordered(nowMs)) {
+            val waitMs = limitedWaitMs(ahead)
+            val isInTime = nowMs + waitMs <= request.giveUpMs
+            if (isInTime && !(isOverloaded && waitMs > request.onTimeWaitMs(nowMs))) {
+                ahead++
+                continue
+            }
+            queue.remove(request)
+            val detail = queueStatus(request)
+            settle(request, rejection(request, ResultCode.SERVERS_LIMITED, detail).left())
+        }
+    }
+
+    private fun expiryCode() =
+        if (areAllLimited()) ResultCode.SERVERS_LIMITED else ResultCode.DEADLINE_UNREACHABLE
+
     private fun grantWaiting(nowMs: Long) {
         if (states.values.none { it.isOpen }) return
         for (request in queue.ordered(nowMs)) {
@@ -208,6 +236,15 @@
     private fun closedMs(): Long =
         states.values.filter { !it.server.isLeaving }.minOfOrNull { it.closedMs } ?: 0
 
+    /** Whether every server that may get requests accepts a limited rate only. */
+    private fun areAllLimited(): Boolean {
+        if (limits.isEmpty) return false
+        val present = presentServers()
+        return present.isNotEmpty() && present.all { it.rateLimit != null }
+    }
+
+    private fun presentServers() = states.values.filter { !it.server.isLeaving }
+
     /**
      * Returns whether the request is expected to wait for longer than it may, at the grant rate of
      * the last second.
@@ -221,10 +258,22 @@
         return nowMs + queue.size / perMs > request.giveUpMs
     }
 
+    /**
+     * Returns the time until the rate limits admit a request after [ahead] others, in milliseconds.
+     */
+    private fun limitedWaitMs(ahead: Int): Long {
+        val firstMs = presentServers().mapNotNull { it.rateLimit?.waitMs() }.minOrNull() ?: 0
+        return firstMs + (ahead / hostPerS() * MS_PER_S).toLong()
+    }
+
+    /** Returns the rate at which the limits of the servers admit requests on this host. */
+    private fun hostPerS(): Double = presentServers().sumOf { it.rateLimit?.hostPerS ?: 0.0 }
+
     private fun rejection(request: QueuedRequest, code: ResultCode, detail: String): Failure {
         val nowMs = clock.nowMs()
         val retryAfterMs = retryAfter.retryAfterMs(nowMs, request.endMs - nowMs)
-        return Failure(code, detail, maxOf(retryAfterMs, closedMs()))
+        val limitedMs = if (areAllLimited()) limitedWaitMs(queue.size) else 0
+        return Failure(code, detail, maxOf(retryAfterMs, closedMs(), limitedMs))
     }
 
     private fun settle(request: QueuedRequest, result: Either<Failure, ServerState>) {
@@ -246,6 +295,10 @@
 
     private companion object {
         const val RATE_WINDOW_MS = 1_000L
+        const val MS_PER_S = 1_000.0
+
+        // Contains several requests also at rates below one per second.
+        const val DEMAND_WINDOW_MS = 5_000L
 
         // Speeds change only with some requests, so the medians are reused for this time.
         const val TYPICAL_LIFETIME_MS = 100L
--- a/gateway/forwarding/src/test/kotlin/org/hyssoprack/gateway/forwarding/ratelimit/LimitedPoolTest.kt
+++ b/gateway/forwarding/src/test/kotlin/org/hyssoprack/gateway/forwarding/ratelimit/LimitedPoolTest.kt
@@ -3,6 +3,7 @@
 import arrow.core.Either
 import assertk.assertThat
 import assertk.assertions.isEqualTo
+import assertk.assertions.isGreaterThan
 import kotlin.random.Random
 import net.jqwik.api.Example
 import org.hyssoprack.common.BackendServerId
@@ -11,6 +12,7 @@
 import org.hyssoprack.common.ManualClock
 import org.hyssoprack.common.NetworkAddress
 import org.hyssoprack.common.NoOpEventLog
+import org.hyssoprack.common.ResultCode
 import org.hyssoprack.common.ServiceId
 import org.hyssoprack.gateway.forwarding.ServerPool
 import org.hyssoprack.serving.fleet.RegisteredServer
@@ -42,6 +44,50 @@
         assertThat(request(large).granted()).isEqualTo(slow.id)
     }
 
+    @Example
+    fun `while every server is limited, the rates decide whether a request waits`() {
+        class Case(
+            val name: String,
+            val perS: Double,
+            val giveUpMs: Long,
+            val waits: Boolean,
+            val queued: Int = 0
+        )
+        val cases = listOf(
+            Case("a token within the time", perS = 2.0, giveUpMs = 1_000, waits = true),
+            Case("a token too late", perS = 0.5, giveUpMs = 1_000, waits = false),
+            Case("others go before it", perS = 2.0, giveUpMs = 1_000, waits = false, queued = 2),
+            Case("a very low rate", perS = 0.01, giveUpMs = 30_000, waits = false)
+        )
+        for (case in cases) {
+            val server = registered("b-${case.name}")
+            pool.update(listOf(server), spec = null)
+            limits.recordNamed(server.instance, case.perS)
+            repeat(case.queued) { request(giveUpMs = 60_000) }
+            val result = request(giveUpMs = case.giveUpMs)
+            assertThat(result.value == null, case.name).isEqualTo(case.waits)
+            if (!case.waits) {
+                val failure = result.value!!.leftOrNull()!!
+                assertThat(failure.code, case.name).isEqualTo(ResultCode.SERVERS_LIMITED)
+                assertThat(failure.retryAfterMs!!, case.name)
+                    .isGreaterThan((900 / case.perS).toLong() * (case.queued + 1))
+            }
+            clock.advance(100_000)
+            pool.dispatchWaiting()
+        }
+    }
+
+    @Example
+    fun `requests that wait when the last server names a limit are refused if it comes too late`() {
+        pool.update(listOf(fast), spec = null)
+        repeat(fast.slots) { request() }
+        val waiting = List(5) { request(giveUpMs = 2_000) }
+        assertThat(waiting.count { it.value == null }).isEqualTo(5)
+        limits.recordNamed(fast.instance, perS = 1.0)
+        pool.dispatchWaiting()
+        assertThat(waiting.count { it.value == null }).isEqualTo(2)
+    }
+
     private class Result(var value: Either<Failure, ServerState>? = null) {
         fun granted(): BackendServerId? = value?.getOrNull()?.server?.id
     }
--- a/gateway/forwarding/src/test/kotlin/org/hyssoprack/gateway/forwarding/ratelimit/ServerRateLimitTest.kt
+++ b/gateway/forwarding/src/test/kotlin/org/hyssoprack/gateway/forwarding/ratelimit/ServerRateLimitTest.kt
@@ -4,6 +4,7 @@
 import assertk.assertions.isEqualTo
 import assertk.assertions.isGreaterThan
 import assertk.assertions.isGreaterThanOrEqualTo
+import assertk.assertions.isLessThan
 import assertk.assertions.isLessThanOrEqualTo
 import kotlin.random.Random
 import net.jqwik.api.Example
@@ -151,6 +152,25 @@
         }
     }
 
+    @Example
+    fun `when every server is limited, requests that cannot be served are refused at once`() {
+        for (perS in RATES) {
+            for (seed in SEEDS) {
+                val fleet = FleetSimulation(seed).run(3_000)
+                fleet.servers.forEach { it.perS = perS }
+                fleet.run(16_000).end()
+                fleet.servers.forEach { assertWithinLimit(it, perS, "$perS per second") }
+                val nowMs = fleet.clock.nowMs()
+                val served = fleet.servers.sumOf { it.arrivalsBetween(nowMs - COUNTED_MS, nowMs) }
+                val accepted = minOf(perS * fleet.servers.size, 60.0) * COUNTED_MS / 1_000
+                assertThat(served, "$perS per second")
+                    .isGreaterThanOrEqualTo((accepted * 2 / 3).toInt())
+                assertThat(fleet.refusedAfterWait, "$perS per second")
+                    .isLessThan(1 + fleet.refused / 10)
+            }
+        }
+    }
+
     private fun assertWithinLimit(server: LimitedServer, perS: Double, name: String) =
         assertThat(server.highestCount(), name)
             .isLessThanOrEqualTo(LimitedServer.allowedCount(perS))
