--- a/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/ServerPool.kt
+++ b/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/ServerPool.kt
@@ -137,7 +137,7 @@
                 settle(it, rejection(it, expiryCode(), detail).left())
             }
             grantWaiting(nowMs)
-            if (areAllLimited()) refuseUnreachable(nowMs)
+            if (areAllLimited()) rejectUnreachable(nowMs)
         } finally {
             isDispatching = false
         }
@@ -148,20 +148,20 @@
      * requests arrive than the limits admit, later ones that can be on time go ahead of those that
      * cannot, which therefore do not wait.
      */
-    private fun refuseUnreachable(nowMs: Long) {
+    private fun rejectUnreachable(nowMs: Long) {
         val admittedPerWindow = hostPerS() * DEMAND_WINDOW_MS / MS_PER_S
         val isOverloaded = requested.total(nowMs) > admittedPerWindow
         var ahead = 0
         for (request in queue.ordered(nowMs)) {
             val waitMs = limitedWaitMs(ahead)
-            val isInTime = nowMs + waitMs <= request.giveUpMs
-            if (isInTime && !(isOverloaded && waitMs > request.onTimeWaitMs(nowMs))) {
+            val isTooLate = nowMs + waitMs > request.giveUpMs
+            if (isTooLate || isOverloaded && waitMs > request.onTimeWaitMs(nowMs)) {
+                queue.remove(request)
+                val detail = queueStatus(request)
+                settle(request, rejection(request, ResultCode.SERVERS_LIMITED, detail).left())
+            } else {
                 ahead++
-                continue
             }
-            queue.remove(request)
-            val detail = queueStatus(request)
-            settle(request, rejection(request, ResultCode.SERVERS_LIMITED, detail).left())
         }
     }
 
--- a/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/slots/SlotClient.kt
+++ b/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/slots/SlotClient.kt
@@ -338,14 +338,19 @@
     }
 
     private fun excludedServers(owner: HostId, service: ServiceId): Set<BackendServerId> {
-        val usable = pools[service].servers.filter { !it.server.isLeaving && it.closedMs == 0L }
-        val allowed = usable.filter { it.isWithinRateLimit || isRateLimitKept(owner, it) }
-        val included = allowed.ifEmpty { usable }.mapTo(HashSet()) { it.server.id }
-        return pools[service].servers.map { it.server.id }.filterTo(HashSet()) { it !in included }
+        val servers = pools[service].servers
+        val closed = servers.filter { it.server.isLeaving || it.closedMs > 0 }
+            .mapTo(HashSet()) { it.server.id }
+        val overLimit = servers.filter { isOverRateLimit(owner, it) }.map { it.server.id }
+        // With no server left, the request would wait at the owner although its limits may allow it.
+        return (closed + overLimit).takeIf { it.size < servers.size } ?: closed
     }
 
-    private fun isRateLimitKept(owner: HostId, state: ServerState): Boolean = owner == self.host ||
-        (owner == knownOwner && pools.limits.isConfirmed(state.server.instance))
+    /** Returns whether only [owner] could allow a request to the server, and may not keep its limit. */
+    private fun isOverRateLimit(owner: HostId, state: ServerState): Boolean =
+        !state.isWithinRateLimit &&
+            owner != self.host &&
+            !(owner == knownOwner && pools.limits.isConfirmed(state.server.instance))
 
     private fun failureOf(refused: SlotMessage.Refused) = Failure(
         code = ResultCode.ofNumber(refused.code) ?: ResultCode.NO_BACKEND_SERVER,
