Give the test modules that run at the same time ports of their own

The integration tests and those of platform draw random ports from one range, check that each is free and bind it later, in processes that run at the same time. Each has half of the range now.

--- a/testing/integration/src/main/kotlin/org/hyssoprack/integration/deployment/PortPool.kt
+++ b/testing/integration/src/main/kotlin/org/hyssoprack/integration/deployment/PortPool.kt
@@ -26,7 +26,8 @@
 
     private companion object {
         // Below the system's ephemeral port range: an outgoing connection could otherwise take one
-        // of these ports before the process under test listens on it.
-        val PORTS = 12_000..31_000
+        // of these ports before the process under test listens on it. Other modules' tests, which
+        // run at the same time, use 22,000 to 31,000.
+        val PORTS = 12_000..21_999
     }
 }
