Let the shares of slot owners in a rate limit add up to one

Found by a new test of the simulation: random changes of owners, cut-off and unready hosts under full load, with member views that lag by up to 1.5 s. Two owners counted the same host: the one before for 3.5 s after its last report, and the new one left hosts out that had not reported to it. Now a host tells the owner before that it uses another one, every host of the member view counts, and a host that is no owner keeps no tokens. The share by which quotas are admitted counts as before, but falls at once too where a host changes to another owner.

--- a/core/serving/src/main/kotlin/org/hyssoprack/serving/limits/ServerRateLimit.kt
+++ b/core/serving/src/main/kotlin/org/hyssoprack/serving/limits/ServerRateLimit.kt
@@ -33,6 +33,7 @@
     fun waitMs(): Long {
         val perMs = grantedPerMs()
         if (perMs > 0) return bucket.waitMs(perMs)
+        bucket.clear()
         return turns.waitMs(alonePerMs(), position())
     }
 
--- a/core/serving/src/main/kotlin/org/hyssoprack/serving/limits/TokenBucket.kt
+++ b/core/serving/src/main/kotlin/org/hyssoprack/serving/limits/TokenBucket.kt
@@ -29,6 +29,12 @@
         tokens = minOf(tokens + 1, sizeOf(perMs))
     }
 
+    /** Removes all tokens. */
+    fun clear() {
+        tokens = 0.0
+        filledMs = clock.nowMs()
+    }
+
     private fun fill(perMs: Double) {
         val nowMs = clock.nowMs()
         tokens = minOf(tokens + (nowMs - filledMs) * perMs, sizeOf(perMs))
--- a/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/slots/ServingHosts.kt
+++ b/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/slots/ServingHosts.kt
@@ -94,6 +94,15 @@
         return position
     }
 
+    /**
+     * Returns the share of the hosts that may be serving, this one included, that are in
+     * [reporting]. Every host counts, so that the shares of all owners add up to at most 1.
+     */
+    fun shareOf(reporting: Set<HostId>): Double {
+        val all = countedPeers().map { it.ref.host } + self.host
+        return all.count { it in reporting }.toDouble() / all.size
+    }
+
     /**
      * Returns the share of the hosts that may be serving, this one included, for which
      * [isReporting] holds. This host counts like any other: while it uses another owner, its own
--- a/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/slots/SlotClient.kt
+++ b/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/slots/SlotClient.kt
@@ -111,12 +111,14 @@
     }
 
     private fun ownerChanged(owner: HostId?) {
-        log.event("slot-owner", "owner" eq owner, "before" eq knownOwner)
+        val before = knownOwner
+        log.event("slot-owner", "owner" eq owner, "before" eq before)
         knownOwner = owner
         unresponsiveUntilMs = null
         reportedMs = Long.MIN_VALUE / 2
         if (owner == self.host) pools.clearPeerLoads()
         pools.limits.ownerChanged()
+        before?.let { send(it, SlotMessage.Report(isLast = true)) }
     }
 
     /**
--- a/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/slots/SlotMessage.kt
+++ b/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/slots/SlotMessage.kt
@@ -132,6 +132,7 @@
      * @property leaving server instances that announced their shutdown.
      * @property limits rate limits that servers named, as far as the owner may not know them; all in
      *   the first report to an owner.
+     * @property isLast whether the sender uses another owner from now on.
      */
     @Serializable
     @SerialName("st")
@@ -140,7 +141,8 @@
         @SerialName("u") val used: Map<ClientAccount, Double> = emptyMap(),
         @SerialName("t") val usedShares: Map<ClientAccount, Double> = emptyMap(),
         @SerialName("l") val leaving: Set<ServerInstance> = emptySet(),
-        @SerialName("m") val limits: List<ServerLimit> = emptyList()
+        @SerialName("m") val limits: List<ServerLimit> = emptyList(),
+        @SerialName("z") val isLast: Boolean = false
     ) : SlotMessage
 
     /** Requests a [Report] from a host that has not sent one to this owner. */
--- a/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/slots/SlotOwner.kt
+++ b/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/slots/SlotOwner.kt
@@ -57,6 +57,7 @@
 
     /** Handles a message from [from]. */
     fun receive(from: HostRef, message: SlotMessage) {
+        if (message is SlotMessage.Report && message.isLast) return reportsElsewhere(from)
         val isNeeded = message is SlotMessage.Request || message is SlotMessage.Report
         if (isNeeded && !isReady()) return send(from.host, SlotMessage.NotReady)
         when (message) {
@@ -241,6 +242,12 @@
         running.values.filter { it.number !in client.leases }.forEach { adopt(client, it, nowMs) }
     }
 
+    /** Stops counting a host as reporting; it stays present, and its slots stay in use. */
+    private fun reportsElsewhere(from: HostRef) {
+        val client = clients[from] ?: return
+        client.reportedMs = minOf(client.reportedMs ?: return, clock.nowMs() - FRESH_MS - 1)
+    }
+
     private fun adopt(client: Client, slot: RunningSlot, nowMs: Long) {
         val state = pools[slot.service].state(slot.server) ?: return
         val lease = Lease(slot.number, slot.work, endMs = nowMs + slot.endMs, isRelayedHere = false)
--- a/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/slots/SlotService.kt
+++ b/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/slots/SlotService.kt
@@ -58,17 +58,32 @@
     val isOwner: Boolean get() = hosts.owner() == self.host
 
     private var reportingShare = 0.0
-    private var reportingShareMs = Long.MIN_VALUE / 2
+    private var ownerShare = 0.0
+    private var sharesMs = Long.MIN_VALUE / 2
 
     /** Returns the share of the hosts that report to this one, cached for a short time. */
     fun reportingShare(): Double {
+        updateShares()
+        return reportingShare
+    }
+
+    /**
+     * Returns the share of all hosts that report to this one, present or not, cached for a short
+     * time.
+     */
+    fun ownerShare(): Double {
+        updateShares()
+        return ownerShare
+    }
+
+    private fun updateShares() {
         val nowMs = clock.nowMs()
-        if (nowMs - reportingShareMs < SHARE_LIFETIME_MS) return reportingShare
+        if (nowMs - sharesMs < SHARE_LIFETIME_MS) return
+        sharesMs = nowMs
         val fresh = owner.reportingHosts(SlotOwner.FRESH_MS)
         val present = owner.reportingHosts(SlotOwner.PRESENT_MS)
         reportingShare = hosts.reportingShare({ it in fresh }, { it in present })
-        reportingShareMs = nowMs
-        return reportingShare
+        ownerShare = hosts.shareOf(fresh)
     }
 
     /** Handles a message from another host. */
--- a/gateway/forwarding/src/test/kotlin/org/hyssoprack/gateway/forwarding/ratelimit/FleetSimulation.kt
+++ b/gateway/forwarding/src/test/kotlin/org/hyssoprack/gateway/forwarding/ratelimit/FleetSimulation.kt
@@ -41,6 +41,7 @@
  * times to random hosts.
  *
  * @param perS callers' requests per second.
+ * @param newsMs longest time that a host takes to learn of a change of the members.
  * @param knowsLimits whether a host reads the limits that servers name.
  * @param transform changes a message in transit; null loses it.
  */
@@ -50,6 +51,7 @@
     private val perS: Double = 60.0,
     hostCount: Int = 9,
     serverCount: Int = 4,
+    private val newsMs: Long = 0,
     private val knowsLimits: (SimulatedHost) -> Boolean = { true },
     private val transform: (SlotMessage) -> SlotMessage? = { it }
 ) {
@@ -61,7 +63,7 @@
             CoroutineExceptionHandler { _, e -> fault = e }
     )
     private val service = ServiceId("s")
-    private var members: Map<HostId, Member>
+    private val views = ArrayList<DatedView>()
     val clock = SimulatedTime(scheduler)
     val hosts: List<SimulatedHost>
     val servers = List(serverCount) { LimitedServer(BackendServerId("b$it"), clock) }
@@ -76,14 +78,15 @@
 
     init {
         val refs = List(hostCount) { HostRef(HostId("h$it"), Incarnation(1)) }
-        members = refs.associate { it.host to member(it) }
+        views += DatedView(clock.nowMs(), MemberView(refs.associate { it.host to member(it) }))
         hosts = refs.map {
+            val delayMs = random.nextLong(newsMs + 1)
             SimulatedHost(
                 ref = it,
                 clock = SimulatedTime(scheduler, random.nextLong(-WALL_CLOCK_MS, WALL_CLOCK_MS)),
                 link = SimulatedLink(it),
                 random = random,
-                view = { MemberView(members) }
+                view = { view(delayMs) }
             )
         }
         hosts.forEach { it.pools.updateServers(servers.map { server -> registered(server) }) }
@@ -95,7 +98,7 @@
     }
 
     /** The slot owner in the view of most hosts. */
-    fun owner(): SimulatedHost = hosts.first { it.slots.isOwner }
+    fun owner(): SimulatedHost = hosts.firstOrNull { it.slots.isOwner } ?: hosts.first()
 
     /** Lets [ms] milliseconds pass. */
     fun run(ms: Long): FleetSimulation {
@@ -107,9 +110,18 @@
     fun end() = scope.cancel()
 
     fun setState(host: SimulatedHost, state: MemberState) {
-        members = members + (host.ref.host to members.getValue(host.ref.host).copy(state = state))
+        val members = views.last().view.members
+        val changed = members.getValue(host.ref.host).copy(state = state)
+        views += DatedView(clock.nowMs(), MemberView(members + (host.ref.host to changed)))
     }
 
+    private fun view(delayMs: Long): MemberView {
+        val seenMs = clock.nowMs() - delayMs
+        return (views.lastOrNull { it.sinceMs <= seenMs } ?: views.first()).view
+    }
+
+    private class DatedView(val sinceMs: Long, val view: MemberView)
+
     private fun repeatEvery(periodMs: Long, action: () -> Unit) = scope.launch {
         delay(random.nextLong(periodMs))
         while (true) {
@@ -150,7 +162,7 @@
         val server = servers.first { it.id == slot.state.server.id }
         val sentMs = clock.nowMs()
         delay(MESSAGE_MS)
-        server.arrive(host.ref.host)
+        if (!host.isCutOff) server.arrive(host.ref.host)
         delay(random.nextLong(1, 2 * WORK_MS))
         val perS = server.perS
         val limit = perS?.let { ReportedRateLimit.PerSecond(it) } ?: ReportedRateLimit.None
--- a/gateway/forwarding/src/test/kotlin/org/hyssoprack/gateway/forwarding/ratelimit/ServerRateLimitTest.kt
+++ b/gateway/forwarding/src/test/kotlin/org/hyssoprack/gateway/forwarding/ratelimit/ServerRateLimitTest.kt
@@ -79,6 +79,40 @@
         }
     }
 
+    @Example
+    fun `no server gets more than its limit, whatever befalls the hosts under full load`() {
+        for (perS in RATES) {
+            for (seed in 1..20) {
+                val fleet = FleetSimulation(seed, perS = 200.0, newsMs = 1_500).run(3_000)
+                fleet.servers.forEach { it.perS = perS }
+                val random = Random(seed)
+                repeat(EVENTS) {
+                    fleet.befall(random)
+                    fleet.run(random.nextLong(100, 2_000))
+                }
+                fleet.end()
+                fleet.servers.forEach {
+                    assertWithinLimit(it, perS, "$perS per second, seed $seed")
+                }
+            }
+        }
+    }
+
+    /** Changes the state of a random host or of the owner. */
+    private fun FleetSimulation.befall(random: Random) {
+        val host = if (random.nextBoolean()) owner() else hosts.random(random)
+        when (random.nextInt(4)) {
+            0 -> host.isCutOff = !host.isCutOff
+            1 -> host.isReady = !host.isReady
+            2 -> setState(host, listOf(MemberState.LEAVING, MemberState.DEAD).random(random))
+            else -> hosts.forEach {
+                it.isCutOff = false
+                it.isReady = true
+                setState(it, MemberState.ALIVE)
+            }
+        }
+    }
+
     @Example
     fun `a limited server gets most of what it accepts, and the others take the rest`() {
         for (case in casesOf(events.filter { it.hasOwner })) {
@@ -210,6 +244,7 @@
         val RATES = listOf(0.2, 2.3, 20.0)
         val SEEDS = 1..3
         const val SENT_IN_LIGHT_LOAD = 80
+        const val EVENTS = 30
         const val COUNTED_MS = 12_000L
     }
 }
--- a/gateway/forwarding/src/test/kotlin/org/hyssoprack/gateway/forwarding/ratelimit/SimulatedHost.kt
+++ b/gateway/forwarding/src/test/kotlin/org/hyssoprack/gateway/forwarding/ratelimit/SimulatedHost.kt
@@ -31,7 +31,7 @@
         limits = ServerLimitRegistry(
             clock = clock,
             log = NoOpEventLog,
-            ownerShare = { slots.reportingShare() },
+            ownerShare = { slots.ownerShare() },
             position = { hosts.position() }
         )
     )
--- a/gateway/forwarding/src/test/kotlin/org/hyssoprack/gateway/forwarding/slots/ServingHostsTest.kt
+++ b/gateway/forwarding/src/test/kotlin/org/hyssoprack/gateway/forwarding/slots/ServingHostsTest.kt
@@ -62,6 +62,14 @@
         assertThat(hosts.reportingShare({ it in reporting }, { true })).isEqualTo(1.0 / 3)
     }
 
+    @Example
+    fun `the shares of owners with the same members add up to one`() {
+        val members = listOf("a", "b", "c", "d").map { member(it, 100) }
+        val first = hosts("a", members).shareOf(setOf(HostId("a"), HostId("b"), HostId("c")))
+        val second = hosts("b", members).shareOf(setOf(HostId("d"), HostId("gone")))
+        assertThat(first + second).isEqualTo(1.0)
+    }
+
     @Example
     fun `hosts with the same members have different positions, dead ones have none`() {
         val dead = member("c", 100).copy(state = MemberState.DEAD)
--- a/gateway/forwarding/src/test/kotlin/org/hyssoprack/gateway/forwarding/slots/SlotClientTest.kt
+++ b/gateway/forwarding/src/test/kotlin/org/hyssoprack/gateway/forwarding/slots/SlotClientTest.kt
@@ -201,6 +201,15 @@
         }
     }
 
+    @Example
+    fun `the owner before is told that this host uses another one`() {
+        sent.clear()
+        owner = second.host
+        client.tick()
+        val last = sent.filter { it.first == first.host }.map { it.second }
+        assertThat(last).isEqualTo(listOf(SlotMessage.Report(isLast = true)))
+    }
+
     @Example
     fun `a limit is reported at once, and to a new owner again`() {
         val instance = pools[service].state(server)!!.server.instance
--- a/gateway/forwarding/src/test/kotlin/org/hyssoprack/gateway/forwarding/slots/SlotOwnerTest.kt
+++ b/gateway/forwarding/src/test/kotlin/org/hyssoprack/gateway/forwarding/slots/SlotOwnerTest.kt
@@ -212,6 +212,15 @@
         }
     }
 
+    @Example
+    fun `a host that uses another owner counts as reporting again only after its next report`() {
+        owner.receive(a, SlotMessage.Report(isLast = true))
+        assertThat(owner.reportingHosts(SlotOwner.FRESH_MS)).isEqualTo(setOf(b.host))
+        assertThat(owner.reportingHosts(SlotOwner.PRESENT_MS)).isEqualTo(setOf(a.host, b.host))
+        owner.receive(a, SlotMessage.Report())
+        assertThat(owner.reportingHosts(SlotOwner.FRESH_MS)).isEqualTo(setOf(a.host, b.host))
+    }
+
     @Example
     fun `hosts learn of a limit at once`() {
         owner.tick()
