--- a/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/slots/SlotClient.kt
+++ b/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/slots/SlotClient.kt
@@ -344,11 +344,14 @@
         val closed = servers.filter { it.server.isLeaving || it.closedMs > 0 }
             .mapTo(HashSet()) { it.server.id }
         val overLimit = servers.filter { isOverRateLimit(owner, it) }.map { it.server.id }
-        // With no server left, the request would wait at the owner although its limits may allow it.
+        // With every server excluded, the request would wait at the owner in vain.
         return (closed + overLimit).takeIf { it.size < servers.size } ?: closed
     }
 
-    /** Returns whether only [owner] could allow a request to the server, and may not keep its limit. */
+    /**
+     * Returns whether the server's rate limit leaves this host no request now, and [owner] is not
+     * known to keep the limit.
+     */
     private fun isOverRateLimit(owner: HostId, state: ServerState): Boolean =
         !state.isWithinRateLimit &&
             owner != self.host &&
