Take a late write of the operator's own earlier attempt for its acceptance

Versions that were found before the write were compared by hash and operator already, those found after it by the id of the attempt only. The sample is now an example of its own, which failed before.

--- a/core/settings/src/main/kotlin/org/hyssoprack/settings/DefaultBundleService.kt
+++ b/core/settings/src/main/kotlin/org/hyssoprack/settings/DefaultBundleService.kt
@@ -149,7 +149,10 @@
         val taken = history.version(next.version, current)
             .mapLeft { undecided(it, "accept", next.hash) }
             .bind()
-        if (taken?.changeId != next.changeId) raise(conflict(next.version, taken, current))
+        // An earlier attempt of the same operator may have taken effect meanwhile.
+        if (!isSameChange(taken, next.hash, next.acceptedBy)) {
+            raise(conflict(next.version, taken, current))
+        }
     }
 
     private suspend fun Raise<Failure>.versionAcceptedEarlier(
@@ -160,10 +163,13 @@
     ): BundleVersion {
         val version = BundleVersion(base.value + 1)
         val taken = history.version(version, current).bind()
-        if (taken?.hash == hash && taken.acceptedBy == operator) return version
+        if (isSameChange(taken, hash, operator)) return version
         raise(conflict(version, taken, current))
     }
 
+    private fun isSameChange(taken: AcceptedBundle?, hash: ContentHash, operator: OperatorName) =
+        taken?.hash == hash && taken.acceptedBy == operator
+
     private fun Raise<Failure>.raiseUnlessDecided(
         result: WriteResult,
         step: String,
--- a/core/settings/src/test/kotlin/org/hyssoprack/settings/BundleServiceTest.kt
+++ b/core/settings/src/test/kotlin/org/hyssoprack/settings/BundleServiceTest.kt
@@ -108,7 +108,13 @@
     fun `the results returned to operators match the history whatever calls fail`(
         @ForAll seed: Long,
         @ForAll @IntRange(min = 0, max = 60) faultPercent: Int
-    ) = runBlocking {
+    ) = acceptUnderFaults(seed, faultPercent)
+
+    @Example
+    fun `a late write of an operator's own earlier attempt is no conflict`() =
+        acceptUnderFaults(seed = 2_749, faultPercent = 31)
+
+    private fun acceptUnderFaults(seed: Long, faultPercent: Int) = runBlocking {
         val random = Random(seed)
         val table = FakeTable(random)
         val service = service(table)
