Log how an attempt on a server ended and why no other server was used

A stream that is cut off ends as stream-broken today, whether its server broke it off, this host gave the silent server up, or newer settings refused the request on its way to another server. attempt-ended and failover-refused tell these apart, with the time since the response's last progress. No behaviour changes; the lines are written for failed attempts only.

--- a/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/RequestForwarder.kt
+++ b/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/RequestForwarder.kt
@@ -91,11 +91,11 @@
         var call = admitted
         while (true) {
             val slot = slots.acquire(queued(call, progress), progress.charge).getOrElse {
-                return RequestResult.Failed(it)
+                return refused(call, progress, it)
             }
             val checked = admission.recheck(request, call).getOrElse {
                 slot.release(SlotResult(SlotOutcome.UNUSED))
-                return RequestResult.Failed(it)
+                return refused(call, progress, it)
             }
             if (checked.service != call.service) {
                 slot.release(SlotResult(SlotOutcome.UNUSED))
@@ -107,11 +107,23 @@
             progress.triedServers += slot.state.server.id
             progress.limitPerS = slot.state.rateLimit?.perS
             progress.attempts++
-            val result = attempt(request, call, slot, progress, relay).run()
+            val attempt = attempt(request, call, slot, progress, relay)
+            val result = attempt.run()
+            telemetry.recordAttempt(call, slot.state.server.id, attempt, result)
             return resultOf(result, call, progress) ?: continue
         }
     }
 
+    /** Returns the caller's result if the request gets no slot, or must not use the one it got. */
+    private fun refused(
+        call: AdmittedRequest,
+        progress: RequestProgress,
+        failure: Failure
+    ): RequestResult {
+        if (progress.attempts > 0) telemetry.recordFailoverRefused(call, failure)
+        return RequestResult.Failed(failure)
+    }
+
     private fun attempt(
         request: CallerRequest,
         call: AdmittedRequest,
--- a/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/RequestTelemetry.kt
+++ b/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/RequestTelemetry.kt
@@ -2,6 +2,7 @@
 
 import io.micrometer.core.instrument.MeterRegistry
 import java.time.Duration
+import org.hyssoprack.common.BackendServerId
 import org.hyssoprack.common.Clock
 import org.hyssoprack.common.EventLog
 import org.hyssoprack.common.Failure
@@ -28,6 +29,42 @@
         )
     }
 
+    /** Records an attempt on [server] that did not end with a response for the caller. */
+    internal fun recordAttempt(
+        call: AdmittedRequest,
+        server: BackendServerId,
+        attempt: ServerAttempt,
+        result: AttemptResult
+    ) {
+        val (end, reason) = when (result) {
+            is AttemptResult.Delivered, is AttemptResult.Answered -> return
+            is AttemptResult.NotRun -> "not-run" to result.reason
+            is AttemptResult.Broken -> "broken" to result.reason
+            AttemptResult.Stalled -> "stalled" to null
+        }
+        log.event(
+            "attempt-ended",
+            "request" eq call.metadata.id,
+            "server" eq server,
+            "end" eq end,
+            "reason" eq reason,
+            "elapsedMs" eq attempt.elapsedMs,
+            "silentMs" eq attempt.silentMs
+        )
+    }
+
+    /** Records that a request that was sent to a server before may not go to another one now. */
+    internal fun recordFailoverRefused(call: AdmittedRequest, failure: Failure) {
+        log.event(
+            "failover-refused",
+            "request" eq call.metadata.id,
+            "code" eq failure.code.number,
+            "detail" eq failure.detail,
+            "totalMs" eq clock.nowMs() - call.arrivedMs,
+            "settings" eq settings.current?.version
+        )
+    }
+
     internal fun recordEnd(call: AdmittedRequest, progress: RequestProgress, end: RequestResult) {
         val nowMs = clock.nowMs()
         count(route = call.route.name.value, code = codeOf(end))
--- a/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/ServerAttempt.kt
+++ b/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/ServerAttempt.kt
@@ -49,6 +49,12 @@
      */
     private var progressMs = startMs
 
+    /** Time since the send, in milliseconds. */
+    val elapsedMs: Long get() = clock.nowMs() - startMs
+
+    /** Time since the response's last progress, in milliseconds. */
+    val silentMs: Long get() = clock.nowMs() - progressMs
+
     /** Sends the request and relays the response; releases the slot at the end. */
     suspend fun run(): AttemptResult {
         try {
@@ -197,7 +203,7 @@
     private fun streamFault(): String? = when {
         relay.pendingBytes > MAX_EVENT_BYTES -> "event exceeds $MAX_EVENT_BYTES bytes"
 
-        clock.nowMs() - progressMs >= call.route.callerPatienceMs ->
+        silentMs >= call.route.callerPatienceMs ->
             "no complete event for ${call.route.callerPatienceMs} ms"
 
         else -> null
@@ -255,13 +261,12 @@
      */
     private fun isStalled(): Boolean = state.isSuspect ||
         isWithoutProgress() ||
-        (!promptRead && clock.nowMs() - startMs >= STALL_MS)
+        (!promptRead && elapsedMs >= STALL_MS)
 
     /**
      * Returns whether a stream has sent no complete event for [STALL_MS], even if it sends bytes.
      */
-    private fun isWithoutProgress(): Boolean =
-        promptRead && relay.isStarted && clock.nowMs() - progressMs >= STALL_MS
+    private fun isWithoutProgress(): Boolean = promptRead && relay.isStarted && silentMs >= STALL_MS
 
     /** Returns what [end] shows about the server. */
     private fun resultOf(end: AttemptResult): SlotResult = when (end) {
