--- /dev/null
+++ b/gateway/forwarding/src/test/kotlin/org/hyssoprack/gateway/forwarding/failover/PlainWireFormat.kt
@@ -0,0 +1,42 @@
+package org.hyssoprack.gateway.forwarding.failover
+
+import arrow.core.Either
+import arrow.core.right
+import io.netty.handler.codec.http.DefaultHttpHeaders
+import io.netty.handler.codec.http.HttpHeaders
+import io.netty.handler.codec.http.HttpResponse
+import org.hyssoprack.common.Failure
+import org.hyssoprack.gateway.DispatchMetadata
+import org.hyssoprack.gateway.RequestMetadata
+import org.hyssoprack.gateway.ResponseMetadata
+import org.hyssoprack.gateway.WireFormat
+
+/** [WireFormat] with as few headers as the tests need. */
+internal object PlainWireFormat : WireFormat {
+    const val KEY = "key"
+
+    override fun readRequest(headers: HttpHeaders): Either<Failure, RequestMetadata> =
+        RequestMetadata(
+            id = headers[ScriptedServers.REQUEST_ID],
+            host = "h",
+            key = headers[KEY]
+        ).right()
+
+    override fun dispatchHeaders(callers: HttpHeaders, facts: DispatchMetadata): HttpHeaders =
+        DefaultHttpHeaders().set(callers).also { headers ->
+            facts.lastEventId?.let { headers.set(ScriptedServers.LAST_EVENT_ID, it) }
+        }
+
+    override fun readAnswer(head: HttpResponse) = ResponseMetadata(
+        requestId = head.headers()[ScriptedServers.REQUEST_ID],
+        isSealed = true,
+        isNotRun = false,
+        isOtherServer = false
+    )
+
+    override fun answerHeaders(servers: HttpHeaders): HttpHeaders = servers
+
+    override fun statusOf(failure: Failure): Int = failure.code.httpStatus
+
+    override fun failureHeaders(failure: Failure, id: String?): HttpHeaders = DefaultHttpHeaders()
+}
--- /dev/null
+++ b/gateway/forwarding/src/test/kotlin/org/hyssoprack/gateway/forwarding/failover/ScriptedServers.kt
@@ -0,0 +1,114 @@
+package org.hyssoprack.gateway.forwarding.failover
+
+import arrow.core.Either
+import arrow.core.right
+import io.netty.handler.codec.http.DefaultHttpResponse
+import io.netty.handler.codec.http.HttpHeaders
+import io.netty.handler.codec.http.HttpMethod
+import io.netty.handler.codec.http.HttpResponseStatus
+import io.netty.handler.codec.http.HttpVersion
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.Job
+import kotlinx.coroutines.channels.Channel
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.launch
+import org.hyssoprack.common.Clock
+import org.hyssoprack.common.Failure
+import org.hyssoprack.common.NetworkAddress
+import org.hyssoprack.gateway.ResponsePart
+import org.hyssoprack.gateway.ServerConnection
+import org.hyssoprack.gateway.ServerConnections
+
+/** Backend servers that respond as their scripts say, in virtual time. */
+internal class ScriptedServers(private val scope: CoroutineScope, private val clock: Clock) :
+    ServerConnections {
+    private val scripts = HashMap<NetworkAddress, suspend (Response) -> Unit>()
+
+    /** Exchanges in the order in which the requests were sent. */
+    val exchanges = ArrayList<Exchange>()
+
+    /** Sets what the server at [address] does with each request. */
+    fun script(address: NetworkAddress, respond: suspend (Response) -> Unit) {
+        scripts[address] = respond
+    }
+
+    override suspend fun open(
+        address: NetworkAddress,
+        connectTimeoutMs: Int
+    ): Either<Failure, ServerConnection> = Exchange(address).right()
+
+    override fun forget(address: NetworkAddress) = Unit
+
+    /** One request at a server; times are null until they are known. */
+    inner class Exchange(val address: NetworkAddress) : ServerConnection {
+        private val parts = Channel<ResponsePart>(Channel.UNLIMITED)
+        private var serving: Job? = null
+        var sentMs: Long? = null
+            private set
+        var closedMs: Long? = null
+            private set
+
+        override val isReused = false
+
+        override fun send(method: HttpMethod, uri: String, headers: HttpHeaders, body: ByteArray) {
+            sentMs = clock.nowMs()
+            exchanges += this
+            val from = headers[LAST_EVENT_ID]?.toInt() ?: 0
+            val response = Response(headers[REQUEST_ID], from, parts)
+            serving = scope.launch { scripts.getValue(address)(response) }
+        }
+
+        override suspend fun next(): ResponsePart = parts.receive()
+
+        override fun release(idleMs: Long) = Unit
+
+        override fun close() {
+            closedMs = clock.nowMs()
+            serving?.cancel()
+        }
+    }
+
+    /** What a script sends; [from] is the last event that the caller has. */
+    class Response(
+        private val requestId: String,
+        val from: Int,
+        private val parts: Channel<ResponsePart>
+    ) {
+        fun head(status: Int = 200) {
+            val head =
+                DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(status))
+            head.headers().set(REQUEST_ID, requestId)
+            parts.trySend(ResponsePart.Head(head))
+        }
+
+        fun event(id: Int) {
+            parts.trySend(ResponsePart.Body("id: $id\ndata: $id\n\n".encodeToByteArray()))
+        }
+
+        fun bytes(text: String) {
+            parts.trySend(ResponsePart.Body(text.encodeToByteArray()))
+        }
+
+        fun end() {
+            parts.trySend(ResponsePart.End)
+        }
+
+        fun lose() {
+            parts.trySend(ResponsePart.Lost("closed"))
+        }
+
+        /** Sends the events after [from] up to [last], [gapMs] apart. */
+        suspend fun events(last: Int, gapMs: Long = EVENT_GAP_MS) {
+            for (id in from + 1..last) {
+                event(id)
+                delay(gapMs)
+            }
+        }
+    }
+
+    companion object {
+        const val REQUEST_ID = "id"
+        const val LAST_EVENT_ID = "last-event-id"
+        private const val EVENT_GAP_MS = 50L
+    }
+}
