Give up a silent server only for a slot and a connection of another one

What callers saw: a stream ended in the middle, or a request got 502, about 1.0 or 2.0 s after its server fell silent, although the server could have gone on.

Cause: the host closed the silent server's connection and released its slot first, and asked for another slot then. A refusal at that point - full queue, used-up retries, newer settings that refuse the request - ended the response. Bytes that ended a silence of 2 s were also dropped unread.

Now the host searches a replacement (slot and open connection, retry taken from the budget) while it goes on reading from the silent server. If that one makes progress first, the search is withdrawn; if the search fails, the server keeps the request and the host searches again later. The first connection is closed before the request is sent again, so two servers never work on it at once.

--- a/core/serving/src/main/kotlin/org/hyssoprack/serving/limits/RetryBudget.kt
+++ b/core/serving/src/main/kotlin/org/hyssoprack/serving/limits/RetryBudget.kt
@@ -25,14 +25,18 @@
         requests.getOrPut(service) { SlidingWindowSum(windowMs) }.add(clock.nowMs(), 1.0)
     }
 
-    /** Consumes one retry from the budget. Returns false if none is left. */
-    fun tryAcquire(service: ServiceId): Boolean {
+    /** Returns whether the budget has a retry left. */
+    fun isAvailable(service: ServiceId): Boolean {
         val nowMs = clock.nowMs()
-        val used = retries.getOrPut(service) { SlidingWindowSum(windowMs) }
         val requested = requests[service]?.total(nowMs) ?: 0.0
         val allowed = requested * ratio() * SAFETY + slack() * SAFETY / hostCount().coerceAtLeast(1)
-        if (used.total(nowMs) + 1 > allowed) return false
-        used.add(nowMs, 1.0)
+        return (retries[service]?.total(nowMs) ?: 0.0) + 1 <= allowed
+    }
+
+    /** Consumes one retry from the budget. Returns false if none is left. */
+    fun tryAcquire(service: ServiceId): Boolean {
+        if (!isAvailable(service)) return false
+        retries.getOrPut(service) { SlidingWindowSum(windowMs) }.add(clock.nowMs(), 1.0)
         return true
     }
 
--- a/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/AttemptResult.kt
+++ b/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/AttemptResult.kt
@@ -26,8 +26,8 @@
     data class Broken(val reason: String) : AttemptResult
 
     /**
-     * The server made no progress for so long that the request goes to another one; the retry has
-     * been taken from the budget.
+     * The server made no progress for so long that the request goes to another one, which has
+     * granted the [replacement]; the retry has been taken from the budget.
      */
-    data object Stalled : AttemptResult
+    class Stalled(val replacement: GrantedRequest) : AttemptResult
 }
--- /dev/null
+++ b/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/GrantedRequest.kt
@@ -0,0 +1,28 @@
+package org.hyssoprack.gateway.forwarding
+
+import org.hyssoprack.gateway.ServerConnection
+import org.hyssoprack.gateway.forwarding.slots.Slot
+import org.hyssoprack.serving.placement.SlotOutcome
+import org.hyssoprack.serving.placement.SlotResult
+
+/**
+ * A request as the settings in force admit it, and the slot that it was granted.
+ *
+ * @property connection a connection to the slot's server, if it has been opened already.
+ */
+internal class GrantedRequest(
+    val call: AdmittedRequest,
+    val slot: Slot,
+    val connection: ServerConnection? = null
+) {
+    /** Gives the slot and the connection back unused. */
+    fun giveBack() {
+        slot.release(SlotResult(SlotOutcome.UNUSED))
+        connection?.release(UNUSED_IDLE_MS)
+    }
+
+    private companion object {
+        // Shorter than servers keep idle connections.
+        const val UNUSED_IDLE_MS = 1_000L
+    }
+}
--- /dev/null
+++ b/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/ReplacementSearch.kt
@@ -0,0 +1,67 @@
+package org.hyssoprack.gateway.forwarding
+
+import arrow.core.Either
+import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.Deferred
+import kotlinx.coroutines.ExperimentalCoroutinesApi
+import kotlinx.coroutines.Job
+import kotlinx.coroutines.async
+import org.hyssoprack.common.Clock
+import org.hyssoprack.common.Failure
+
+/**
+ * Searches another server for a request while a silent one keeps it, so that the response is given
+ * up only for a slot that was granted.
+ *
+ * @param isAllowed returns whether the request may run on another server.
+ * @param acquire waits for a slot of another server.
+ */
+internal class ReplacementSearch(
+    private val scope: CoroutineScope,
+    private val clock: Clock,
+    private val isAllowed: () -> Boolean,
+    private val acquire: suspend () -> Either<Failure, GrantedRequest>
+) {
+    private var search: Deferred<Either<Failure, GrantedRequest>>? = null
+    private var pausedUntilMs = Long.MIN_VALUE
+
+    /** The last search, until its result is taken; null if there is none. */
+    val pending: Job? get() = search
+
+    /** Whether a search has ended and its result has not been taken. */
+    val isOver: Boolean get() = search?.isCompleted ?: false
+
+    /**
+     * Starts a search, unless one is in progress, the last one has just failed, or the request may
+     * not go to another server. Returns whether it was started.
+     */
+    fun start(): Boolean {
+        if (search != null || clock.nowMs() < pausedUntilMs || !isAllowed()) return false
+        search = scope.async { acquire() }
+        return true
+    }
+
+    /** Returns the result of a search that has ended, or null if it found nothing. */
+    fun take(): GrantedRequest? {
+        val ended = search?.takeIf { it.isCompleted } ?: return null
+        search = null
+        return ended.granted().also { if (it == null) pausedUntilMs = clock.nowMs() + PAUSE_MS }
+    }
+
+    /** Ends the search and gives back what it has found. */
+    fun cancel() {
+        val ended = search ?: return
+        search = null
+        ended.granted()?.giveBack()
+        ended.cancel()
+    }
+
+    @OptIn(ExperimentalCoroutinesApi::class)
+    private fun Deferred<Either<Failure, GrantedRequest>>.granted(): GrantedRequest? =
+        if (isCompleted && !isCancelled) getCompleted().getOrNull() else null
+
+    private companion object {
+        // Time after which the reason for a refusal may be gone.
+        const val PAUSE_MS = 500L
+    }
+}
--- a/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/RequestForwarder.kt
+++ b/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/RequestForwarder.kt
@@ -1,7 +1,12 @@
 package org.hyssoprack.gateway.forwarding
 
+import arrow.core.Either
+import arrow.core.flatMap
 import arrow.core.getOrElse
+import arrow.core.left
+import arrow.core.right
 import kotlinx.coroutines.CancellationException
+import kotlinx.coroutines.coroutineScope
 import kotlinx.coroutines.withTimeoutOrNull
 import org.hyssoprack.common.Clock
 import org.hyssoprack.common.ErrorBody
@@ -15,12 +20,8 @@
 import org.hyssoprack.gateway.ServerConnections
 import org.hyssoprack.gateway.WireFormat
 import org.hyssoprack.gateway.forwarding.slots.QuotaCharge
-import org.hyssoprack.gateway.forwarding.slots.Slot
 import org.hyssoprack.gateway.forwarding.slots.SlotClient
 import org.hyssoprack.serving.limits.RetryBudget
-import org.hyssoprack.serving.placement.SlotOutcome
-import org.hyssoprack.serving.placement.SlotResult
-import org.hyssoprack.serving.queue.QueuedRequest
 
 /** Accepts callers' requests, sends them to backend servers and relays the responses. */
 class RequestForwarder(
@@ -36,6 +37,7 @@
     private val isRefusing: () -> Boolean = { false }
 ) : RequestHandler {
     private val statusHandler = ServerStatusHandler(pools, log)
+    private val placement = RequestPlacement(admission, slots, connections, telemetry, clock)
 
     /** Number of requests in progress. */
     var inProgress = 0
@@ -88,61 +90,77 @@
         progress: RequestProgress
     ): RequestResult {
         val relay = StreamRelay(answer)
-        var call = admitted
+        var granted = placement.acquire(request, admitted, progress).getOrElse {
+            return RequestResult.Failed(it)
+        }
         while (true) {
-            val slot = slots.acquire(queued(call, progress), progress.charge).getOrElse {
-                return refused(call, progress, it)
-            }
-            val checked = admission.recheck(request, call).getOrElse {
-                slot.release(SlotResult(SlotOutcome.UNUSED))
-                return refused(call, progress, it)
-            }
-            if (checked.service != call.service) {
-                slot.release(SlotResult(SlotOutcome.UNUSED))
-                call = checked
-                continue
+            val call = granted.call
+            val result = attempt(request, granted, progress, relay)
+            granted = if (result is AttemptResult.Stalled) {
+                result.replacement
+            } else {
+                resultOf(result, call, progress)?.let { return it }
+                placement.acquire(request, call, progress).getOrElse {
+                    return RequestResult.Failed(it)
+                }
             }
-            call = checked
-            if (progress.grantedMs == null) progress.grantedMs = clock.nowMs()
-            progress.triedServers += slot.state.server.id
-            progress.limitPerS = slot.state.rateLimit?.perS
-            progress.attempts++
-            val attempt = attempt(request, call, slot, progress, relay)
-            val result = attempt.run()
-            telemetry.recordAttempt(call, slot.state.server.id, attempt, result)
-            return resultOf(result, call, progress) ?: continue
         }
     }
 
-    /** Returns the caller's result if the request gets no slot, or must not use the one it got. */
-    private fun refused(
-        call: AdmittedRequest,
+    private suspend fun attempt(
+        request: CallerRequest,
+        granted: GrantedRequest,
         progress: RequestProgress,
-        failure: Failure
-    ): RequestResult {
-        if (progress.attempts > 0) telemetry.recordFailoverRefused(call, failure)
-        return RequestResult.Failed(failure)
+        relay: StreamRelay
+    ): AttemptResult = coroutineScope {
+        val server = granted.slot.state
+        if (progress.grantedMs == null) progress.grantedMs = clock.nowMs()
+        progress.triedServers += server.server.id
+        progress.limitPerS = server.rateLimit?.perS
+        progress.attempts++
+        val search = ReplacementSearch(
+            scope = this,
+            clock = clock,
+            isAllowed = { mayFailOver(granted.call, progress) },
+            acquire = { acquireReplacement(request, granted.call, progress) }
+        )
+        val attempt = attempt(request, granted, progress, relay, search)
+        attempt.run().also { telemetry.recordAttempt(granted.call, server.server.id, attempt, it) }
     }
 
     private fun attempt(
         request: CallerRequest,
-        call: AdmittedRequest,
-        slot: Slot,
+        granted: GrantedRequest,
         progress: RequestProgress,
-        relay: StreamRelay
+        relay: StreamRelay,
+        search: ReplacementSearch
     ) = ServerAttempt(
         wire = wire,
         connections = connections,
         clock = clock,
         request = request,
-        call = call,
-        slot = slot,
+        granted = granted,
         progress = progress,
         relay = relay,
         statusHandler = statusHandler,
-        mayFailOver = { mayRunAgain(call, progress) && takeRetry(call) }
+        search = search
     )
 
+    private fun mayFailOver(call: AdmittedRequest, progress: RequestProgress): Boolean =
+        mayRunAgain(call, progress) && retryBudget.isAvailable(call.service)
+
+    /** Acquires a slot of another server and takes the retry from the budget. */
+    private suspend fun acquireReplacement(
+        request: CallerRequest,
+        call: AdmittedRequest,
+        progress: RequestProgress
+    ): Either<Failure, GrantedRequest> =
+        placement.acquireReplacement(request, call, progress).flatMap {
+            if (takeRetry(it.call)) return@flatMap it.right()
+            it.giveBack()
+            Failure(ResultCode.NO_BACKEND_SERVER, "The retries of the service are used up.").left()
+        }
+
     /**
      * Returns the caller's result after [result], or null if the request goes to another server.
      */
@@ -155,7 +173,7 @@
         is AttemptResult.NotRun -> afterNotRun(result, call, progress)
         is AttemptResult.Answered -> afterAnswer(result, call, progress)
         is AttemptResult.Broken -> afterBroken(result, call, progress)
-        AttemptResult.Stalled -> null
+        is AttemptResult.Stalled -> null
     }
 
     private fun afterNotRun(
@@ -234,22 +252,6 @@
         answer.answer(wire.statusOf(failure), wire.failureHeaders(failure, id), body)
     }
 
-    private fun queued(call: AdmittedRequest, progress: RequestProgress): QueuedRequest {
-        val totalMs = call.endMs - call.arrivedMs
-        val patienceMs = minOf(totalMs, call.route.callerPatienceMs)
-        return QueuedRequest(
-            service = call.service,
-            work = call.work,
-            rank = call.rank,
-            arrivedMs = call.arrivedMs,
-            targetMs = call.route.targetMs,
-            giveUpMs = call.arrivedMs + minOf(totalMs / WAIT_DIVISOR, patienceMs / 2),
-            endMs = call.endMs,
-            patienceMs = patienceMs,
-            avoid = progress.triedServers
-        )
-    }
-
     private fun refund(progress: RequestProgress) {
         progress.charge?.let { slots.refund(it) }
     }
@@ -283,10 +285,6 @@
     private companion object {
         const val FIRST_FAILURE = 500
         const val MAX_ATTEMPTS = 3
-
-        // A request may wait for its total time divided by this. One that waits longer is rejected,
-        // so that its caller can retry while there is time left.
-        const val WAIT_DIVISOR = 4
         const val REFUSED_RETRY_MS = 300L
 
         // Another host accepts the request immediately.
--- /dev/null
+++ b/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/RequestPlacement.kt
@@ -0,0 +1,107 @@
+package org.hyssoprack.gateway.forwarding
+
+import arrow.core.Either
+import arrow.core.getOrElse
+import arrow.core.left
+import arrow.core.right
+import kotlinx.coroutines.CancellationException
+import org.hyssoprack.common.Clock
+import org.hyssoprack.common.Failure
+import org.hyssoprack.gateway.CallerRequest
+import org.hyssoprack.gateway.ServerConnections
+import org.hyssoprack.gateway.forwarding.slots.SlotClient
+import org.hyssoprack.serving.placement.SlotOutcome
+import org.hyssoprack.serving.placement.SlotResult
+import org.hyssoprack.serving.queue.QueuedRequest
+
+/** Acquires slots for requests, by the settings in force at the time of the grant. */
+internal class RequestPlacement(
+    private val admission: RequestAdmission,
+    private val slots: SlotClient,
+    private val connections: ServerConnections,
+    private val telemetry: RequestTelemetry,
+    private val clock: Clock
+) {
+    /** Waits for a slot. Fails with the reason for rejecting the request. */
+    suspend fun acquire(
+        request: CallerRequest,
+        admitted: AdmittedRequest,
+        progress: RequestProgress
+    ): Either<Failure, GrantedRequest> {
+        var call = admitted
+        while (true) {
+            val slot = slots.acquire(queued(call, progress), progress.charge).getOrElse {
+                return refused(call, progress, it)
+            }
+            val checked = admission.recheck(request, call).getOrElse {
+                slot.release(SlotResult(SlotOutcome.UNUSED))
+                return refused(call, progress, it)
+            }
+            if (checked.service == call.service) return GrantedRequest(checked, slot).right()
+            slot.release(SlotResult(SlotOutcome.UNUSED))
+            call = checked
+        }
+    }
+
+    /**
+     * Waits for a slot of another server and opens a connection to it, for a request that keeps its
+     * server until then. Fails with the reason for keeping it.
+     */
+    suspend fun acquireReplacement(
+        request: CallerRequest,
+        admitted: AdmittedRequest,
+        progress: RequestProgress
+    ): Either<Failure, GrantedRequest> {
+        val granted = acquire(request, admitted, progress).getOrElse { return it.left() }
+        val slot = granted.slot
+        try {
+            val address = slot.state.server.address
+            val connection = connections.open(address, CONNECT_TIMEOUT_MS).getOrElse {
+                connections.forget(address)
+                slot.release(SlotResult(SlotOutcome.UNREACHABLE))
+                return refused(granted.call, progress, it)
+            }
+            return GrantedRequest(granted.call, slot, connection).right()
+        } catch (e: CancellationException) {
+            slot.release(SlotResult(SlotOutcome.UNUSED))
+            throw e
+        }
+    }
+
+    private fun refused(
+        call: AdmittedRequest,
+        progress: RequestProgress,
+        failure: Failure
+    ): Either<Failure, GrantedRequest> {
+        if (progress.attempts > 0) telemetry.recordFailoverRefused(call, failure)
+        return failure.left()
+    }
+
+    private fun queued(call: AdmittedRequest, progress: RequestProgress): QueuedRequest {
+        val totalMs = call.endMs - call.arrivedMs
+        val patienceMs = minOf(totalMs, call.route.callerPatienceMs)
+        return QueuedRequest(
+            service = call.service,
+            work = call.work,
+            rank = call.rank,
+            arrivedMs = call.arrivedMs,
+            targetMs = call.route.targetMs,
+            giveUpMs = call.arrivedMs + minOf(totalMs / WAIT_DIVISOR, patienceMs / 2),
+            endMs = call.endMs,
+            patienceMs = patienceMs,
+            avoid = progress.triedServers
+        )
+    }
+
+    companion object {
+        /**
+         * Time within which a server must accept a connection, in milliseconds. A new connection
+         * takes a few milliseconds; a server that is gone does not respond at all.
+         */
+        const val CONNECT_TIMEOUT_MS = 200
+
+        // A request may wait for its total time divided by this. One that waits longer is rejected,
+        // so that its caller can retry while there is time left.
+        private const val WAIT_DIVISOR = 4
+    }
+}
--- a/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/ServerAttempt.kt
+++ b/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/ServerAttempt.kt
@@ -6,6 +6,9 @@
 import arrow.core.right
 import io.netty.handler.codec.http.HttpResponse
 import java.io.ByteArrayOutputStream
+import kotlinx.coroutines.async
+import kotlinx.coroutines.coroutineScope
+import kotlinx.coroutines.selects.select
 import kotlinx.coroutines.withTimeoutOrNull
 import org.hyssoprack.common.Clock
 import org.hyssoprack.gateway.CallerRequest
@@ -15,7 +18,6 @@
 import org.hyssoprack.gateway.ServerConnection
 import org.hyssoprack.gateway.ServerConnections
 import org.hyssoprack.gateway.WireFormat
-import org.hyssoprack.gateway.forwarding.slots.Slot
 import org.hyssoprack.serving.placement.SlotOutcome
 import org.hyssoprack.serving.placement.SlotResult
 
@@ -23,26 +25,28 @@
  * Sends a request to one backend server and relays its response up to the end.
  *
  * @param statusHandler handles the status that the server reports in its responses.
- * @param mayFailOver called when the server makes no progress; returns whether the request may go
- *   to another one.
+ * @param search searches another server while this one makes no progress.
  */
 internal class ServerAttempt(
     private val wire: WireFormat,
     private val connections: ServerConnections,
     private val clock: Clock,
     private val request: CallerRequest,
-    private val call: AdmittedRequest,
-    private val slot: Slot,
+    granted: GrantedRequest,
     private val progress: RequestProgress,
     private val relay: StreamRelay,
     private val statusHandler: ServerStatusHandler,
-    private val mayFailOver: () -> Boolean
+    private val search: ReplacementSearch
 ) {
+    private val call = granted.call
+    private val slot = granted.slot
+    private val opened = granted.connection
     private val state = slot.state
     private val startMs = clock.nowMs()
     private var promptRead = false
     private var isUnlimited = false
     private var firstMs = 0L
+    private var searchMs = startMs
 
     /**
      * Time of the response's last progress: its head, a complete event, or a part of a plain body.
@@ -62,16 +66,14 @@
             slot.release(resultOf(end).copy(isUnlimited = isUnlimited))
             return end
         } finally {
+            search.cancel()
             // Has an effect only if the caller has disconnected.
             slot.release(SlotResult(SlotOutcome.UNUSED))
         }
     }
 
     private suspend fun sendAndRelay(): AttemptResult {
-        val connection = connections.open(state.server.address, CONNECT_TIMEOUT_MS).fold(
-            { return unreachable(it.detail) },
-            { it }
-        )
+        val connection = opened ?: connect().getOrElse { return unreachable(it.detail) }
         var isDone = false
         try {
             send(connection)
@@ -83,6 +85,9 @@
         }
     }
 
+    private suspend fun connect() =
+        connections.open(state.server.address, RequestPlacement.CONNECT_TIMEOUT_MS)
+
     private fun unreachable(detail: String): AttemptResult {
         connections.forget(state.server.address)
         return AttemptResult.NotRun(detail, arrived = false)
@@ -107,7 +112,7 @@
 
     private suspend fun relayResponse(connection: ServerConnection): AttemptResult {
         while (true) {
-            val part = nextPart(connection) ?: return AttemptResult.Stalled
+            val part = nextPart(connection).getOrElse { return it }
             val head = when (part) {
                 is ResponsePart.Head -> part.response
                 is ResponsePart.Lost -> return AttemptResult.Broken(part.reason)
@@ -177,7 +182,7 @@
     ): AttemptResult {
         relay.begin(head.status().code(), wire.answerHeaders(head.headers()))
         while (true) {
-            val part = nextPart(connection) ?: return AttemptResult.Stalled
+            val part = nextPart(connection).getOrElse { return it }
             when (part) {
                 is ResponsePart.Body -> relayBytes(part.bytes)
                 is ResponsePart.Lost -> return AttemptResult.Broken(part.reason)
@@ -220,7 +225,7 @@
     private suspend fun readBody(connection: ServerConnection): Either<AttemptResult, ByteArray> {
         val body = ByteArrayOutputStream()
         while (true) {
-            when (val part = nextPart(connection) ?: return AttemptResult.Stalled.left()) {
+            when (val part = nextPart(connection).getOrElse { return it.left() }) {
                 is ResponsePart.Body -> {
                     if (body.size() + part.bytes.size > MAX_RESPONSE_BYTES) {
                         return AttemptResult.Broken(
@@ -241,20 +246,54 @@
     }
 
     /**
-     * Returns the next part, or null if the server makes no progress and the request goes to
-     * another one.
+     * Returns the next part, or the attempt's result if the request goes to another server because
+     * this one makes no progress.
      */
-    private suspend fun nextPart(connection: ServerConnection): ResponsePart? {
+    private suspend fun nextPart(
+        connection: ServerConnection
+    ): Either<AttemptResult, ResponsePart> {
         while (true) {
-            val part = withTimeoutOrNull(NO_DATA_MS) { connection.next() }
-            if (part != null) state.recordActivity()
-            val isTrickling = part is ResponsePart.Body && isWithoutProgress()
-            if (part == null) slot.reportStalled()
-            if ((part == null || isTrickling) && isStalled() && mayFailOver()) return null
-            if (part != null) return part
+            if (progressMs > searchMs) search.cancel()
+            search.take()?.let { return AttemptResult.Stalled(it).left() }
+            if (isWithoutProgress()) startSearch()
+            val part = awaitPart(connection)
+            if (part == null) {
+                handleSilence()
+                continue
+            }
+            state.recordActivity()
+            if (part !is ResponsePart.Body) search.cancel()
+            return part.right()
         }
     }
 
+    private fun handleSilence() {
+        if (search.isOver) return
+        slot.reportStalled()
+        if (isStalled()) startSearch()
+    }
+
+    private fun startSearch() {
+        if (search.start()) searchMs = clock.nowMs()
+    }
+
+    /**
+     * Waits for the next part. Returns null if none arrives in [NO_DATA_MS] or before the search
+     * for another server ends.
+     */
+    private suspend fun awaitPart(connection: ServerConnection): ResponsePart? =
+        withTimeoutOrNull(NO_DATA_MS) {
+            val pending = search.pending ?: return@withTimeoutOrNull connection.next()
+            coroutineScope {
+                val next = async { connection.next() }
+                select {
+                    next.onJoin {}
+                    pending.onJoin {}
+                }
+                if (next.isCompleted) next.await() else null.also { next.cancel() }
+            }
+        }
+
     /**
      * Returns whether the server has made no progress for so long that another one is likely to be
      * faster.
@@ -274,7 +313,7 @@
 
         is AttemptResult.Answered -> responseResult(end)
 
-        is AttemptResult.Broken, AttemptResult.Stalled -> SlotResult(SlotOutcome.FAILED)
+        is AttemptResult.Broken, is AttemptResult.Stalled -> SlotResult(SlotOutcome.FAILED)
 
         is AttemptResult.NotRun -> SlotResult(
             if (end.arrived && !end.isOtherServer) SlotOutcome.FULL else SlotOutcome.UNREACHABLE
@@ -302,9 +341,6 @@
         val SUCCESSES = 200..299
         const val FIRST_FAILURE = 500
 
-        // A new connection takes a few milliseconds; a server that is gone does not respond at all.
-        const val CONNECT_TIMEOUT_MS = 200
-
         // Twice the longest pause between events that counts as on time, and half the time for
         // which callers wait for an event.
         const val NO_DATA_MS = 1_000L
--- a/gateway/forwarding/src/test/kotlin/org/hyssoprack/gateway/forwarding/failover/ScriptedServers.kt
+++ b/gateway/forwarding/src/test/kotlin/org/hyssoprack/gateway/forwarding/failover/ScriptedServers.kt
@@ -7,9 +7,9 @@
 import io.netty.handler.codec.http.HttpMethod
 import io.netty.handler.codec.http.HttpResponseStatus
 import io.netty.handler.codec.http.HttpVersion
+import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Job
-import kotlinx.coroutines.channels.Channel
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
 import org.hyssoprack.common.Clock
@@ -41,7 +41,8 @@
 
     /** One request at a server; times are null until they are known. */
     inner class Exchange(val address: NetworkAddress) : ServerConnection {
-        private val parts = Channel<ResponsePart>(Channel.UNLIMITED)
+        private val parts = ArrayDeque<ResponsePart>()
+        private var arrival: CompletableDeferred<Unit>? = null
         private var serving: Job? = null
         var sentMs: Long? = null
             private set
@@ -54,11 +55,18 @@
             sentMs = clock.nowMs()
             exchanges += this
             val from = headers[LAST_EVENT_ID]?.toInt() ?: 0
-            val response = Response(headers[REQUEST_ID], from, parts)
+            val response = Response(headers[REQUEST_ID], from) {
+                parts += it
+                arrival?.complete(Unit)
+            }
             serving = scope.launch { scripts.getValue(address)(response) }
         }
 
-        override suspend fun next(): ResponsePart = parts.receive()
+        // A cancelled wait loses no part.
+        override suspend fun next(): ResponsePart {
+            while (parts.isEmpty()) CompletableDeferred<Unit>().also { arrival = it }.await()
+            return parts.removeFirst()
+        }
 
         override fun release(idleMs: Long) = Unit
 
@@ -72,29 +80,29 @@
     class Response(
         private val requestId: String,
         val from: Int,
-        private val parts: Channel<ResponsePart>
+        private val put: (ResponsePart) -> Unit
     ) {
         fun head(status: Int = 200) {
             val head =
                 DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(status))
             head.headers().set(REQUEST_ID, requestId)
-            parts.trySend(ResponsePart.Head(head))
+            put(ResponsePart.Head(head))
         }
 
         fun event(id: Int) {
-            parts.trySend(ResponsePart.Body("id: $id\ndata: $id\n\n".encodeToByteArray()))
+            put(ResponsePart.Body("id: $id\ndata: $id\n\n".encodeToByteArray()))
         }
 
         fun bytes(text: String) {
-            parts.trySend(ResponsePart.Body(text.encodeToByteArray()))
+            put(ResponsePart.Body(text.encodeToByteArray()))
         }
 
         fun end() {
-            parts.trySend(ResponsePart.End)
+            put(ResponsePart.End)
         }
 
         fun lose() {
-            parts.trySend(ResponsePart.Lost("closed"))
+            put(ResponsePart.Lost("closed"))
         }
 
         /** Sends the events after [from] up to [last], [gapMs] apart. */
