Let a request that has run wait for another server as long as its caller does

Cause: the waiting time of a request counts from its arrival and is half of the caller's patience at most (1.6 s of a stream with 3.2 s), so that the caller can come back. A stream can only need a second server after that, so it was refused at once (expected to expire, or expired in the same call), and it stood behind all requests that could be on time.

Now a request that has run waits until its caller's patience ends, which begins anew with each event, and one whose response has been started goes first in the queue. A refusal could not send it back to its caller as not run anyway.

The case of a server that goes on now checks that the request waits for another one until then; before, it was refused at once.

--- a/core/serving/src/main/kotlin/org/hyssoprack/serving/queue/DispatchQueue.kt
+++ b/core/serving/src/main/kotlin/org/hyssoprack/serving/queue/DispatchQueue.kt
@@ -1,8 +1,9 @@
 package org.hyssoprack.serving.queue
 
 /**
- * Priority queue of the requests of one service that wait for a slot. Requests that can still be on
- * time come first, then the more urgent rank, then the older request. In an overload not all can be
+ * Priority queue of the requests of one service that wait for a slot. Requests whose response has
+ * been started come first, since their callers lose what they have received. Then come requests that
+ * can still be on time, then the more urgent rank, then the older request. In an overload not all can be
  * on time, and a late response is worth only a part of one on time, whatever its rank. One request
  * of each underserved rank goes ahead, so that no rank starves.
  */
@@ -33,23 +34,25 @@
     fun ahead(rank: Int, nowMs: Long): Int {
         val isUnderserved = rank in reservations.underservedRanks(nowMs)
         return waiting.count {
-            it.canBeOnTime(nowMs) && (it.rank == rank || it.rank < rank && !isUnderserved)
+            it.isStarted ||
+                it.canBeOnTime(nowMs) &&
+                (it.rank == rank || it.rank < rank && !isUnderserved)
         }
     }
 
     /** Returns the waiting requests in the order in which they should be served. */
     fun ordered(nowMs: Long): List<QueuedRequest> {
         val byRank = waiting.sortedWith(
-            compareBy({ !it.canBeOnTime(nowMs) }, { it.rank }, { it.arrivedMs })
+            compareBy({ !it.isStarted }, { !it.canBeOnTime(nowMs) }, { it.rank }, { it.arrivedMs })
         )
         val preferred = reservations.underservedRanks(nowMs).mapNotNull { rank ->
-            byRank.firstOrNull { it.rank == rank && it.canBeOnTime(nowMs) }
-        }
-        return if (preferred.isEmpty()) {
-            byRank
-        } else {
-            preferred + (byRank - preferred.toSet())
+            byRank.firstOrNull {
+                it.rank == rank && !it.isStarted && it.canBeOnTime(nowMs)
+            }
         }
+        if (preferred.isEmpty()) return byRank
+        val (started, others) = byRank.partition { it.isStarted }
+        return started + preferred + (others - preferred.toSet())
     }
 
     /** Removes and returns the requests whose maximum waiting time has passed. */
--- a/core/serving/src/main/kotlin/org/hyssoprack/serving/queue/QueuedRequest.kt
+++ b/core/serving/src/main/kotlin/org/hyssoprack/serving/queue/QueuedRequest.kt
@@ -19,6 +19,7 @@
  * @property avoid servers that have already failed the request; used only if there is no other.
  * @property excludedServers servers that the host sending the request must not use.
  * @property domain failure domain of the host that sends the request; null for this host's.
+ * @property isStarted whether the caller has received a part of the response.
  * @property isRelayedHere whether this host sends the request and relays the response.
  */
 class QueuedRequest(
@@ -33,6 +34,7 @@
     val avoid: Set<BackendServerId> = emptySet(),
     val excludedServers: Set<BackendServerId> = emptySet(),
     val domain: FailureDomain? = null,
+    val isStarted: Boolean = false,
     val isRelayedHere: Boolean = true
 ) {
     /** Returns whether the response can still be on time. */
--- a/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/RequestPlacement.kt
+++ b/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/RequestPlacement.kt
@@ -79,17 +79,23 @@
 
     private fun queued(call: AdmittedRequest, progress: RequestProgress): QueuedRequest {
         val totalMs = call.endMs - call.arrivedMs
-        val patienceMs = minOf(totalMs, call.route.callerPatienceMs)
+        val patienceFromMs = progress.lastEventMs ?: call.arrivedMs
+        val patienceEndMs = minOf(call.endMs, patienceFromMs + call.route.callerPatienceMs)
+        val patienceMs = patienceEndMs - call.arrivedMs
+        // A request that has run is not sent again by its caller, so it waits while the caller does.
+        val waitMs =
+            if (progress.runs > 0) patienceMs else minOf(totalMs / WAIT_DIVISOR, patienceMs / 2)
         return QueuedRequest(
             service = call.service,
             work = call.work,
             rank = call.rank,
             arrivedMs = call.arrivedMs,
             targetMs = call.route.targetMs,
-            giveUpMs = call.arrivedMs + minOf(totalMs / WAIT_DIVISOR, patienceMs / 2),
+            giveUpMs = call.arrivedMs + waitMs,
             endMs = call.endMs,
             patienceMs = patienceMs,
-            avoid = progress.triedServers
+            avoid = progress.triedServers,
+            isStarted = progress.lastEventMs != null
         )
     }
 
--- a/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/RequestProgress.kt
+++ b/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/RequestProgress.kt
@@ -32,4 +32,7 @@
 
     /** Monotonic time of the first byte of the response body; null before it. */
     var firstByteMs: Long? = null
+
+    /** Monotonic time at which the caller was last sent an event; null before the first. */
+    var lastEventMs: Long? = null
 }
--- a/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/ServerAttempt.kt
+++ b/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/ServerAttempt.kt
@@ -201,7 +201,9 @@
 
     private suspend fun relayBytes(bytes: ByteArray) {
         if (!promptRead) recordFirstBytes()
-        if (relay.send(bytes)) progressMs = clock.nowMs()
+        if (!relay.send(bytes)) return
+        progressMs = clock.nowMs()
+        progress.lastEventMs = progressMs
     }
 
     /** Returns why a stream that still sends bytes is aborted, or null if it continues. */
--- a/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/ServerPool.kt
+++ b/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/ServerPool.kt
@@ -155,7 +155,8 @@
         for (request in queue.ordered(nowMs)) {
             val waitMs = limitedWaitMs(ahead)
             val isTooLate = nowMs + waitMs > request.giveUpMs
-            if (isTooLate || isOverloaded && waitMs > request.onTimeWaitMs(nowMs)) {
+            val isLate = !request.isStarted && waitMs > request.onTimeWaitMs(nowMs)
+            if (isTooLate || isOverloaded && isLate) {
                 queue.remove(request)
                 val detail = queueStatus(request)
                 settle(request, rejection(request, ResultCode.SERVERS_LIMITED, detail).left())
@@ -247,9 +248,10 @@
 
     /**
      * Returns whether the request is expected to wait for longer than it may, at the grant rate of
-     * the last second.
+     * the last second. Those whose response has been started go ahead of the others.
      */
     private fun isExpectedToExpire(request: QueuedRequest): Boolean {
+        if (request.isStarted) return false
         val nowMs = clock.nowMs()
         val perMs = granted.total(nowMs) / RATE_WINDOW_MS
         if (queue.size < MIN_QUEUE || perMs <= 0) return false
--- a/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/slots/SlotClient.kt
+++ b/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/slots/SlotClient.kt
@@ -335,7 +335,8 @@
             endMs = request.endMs - nowMs,
             patienceMs = request.patienceMs,
             tried = request.avoid,
-            excludedServers = excludedServers(owner, request.service) + unusable
+            excludedServers = excludedServers(owner, request.service) + unusable,
+            isStarted = request.isStarted
         )
     }
 
--- a/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/slots/SlotMessage.kt
+++ b/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/slots/SlotMessage.kt
@@ -36,6 +36,7 @@
      *   a first event.
      * @property tried servers that have already failed the request.
      * @property excludedServers servers that the sender must not use.
+     * @property isStarted whether the caller has received a part of the response.
      */
     @Serializable
     @SerialName("sa")
@@ -54,7 +55,8 @@
         @SerialName("e") val endMs: Long,
         @SerialName("m") val patienceMs: Long,
         @SerialName("x") val tried: Set<BackendServerId> = emptySet(),
-        @SerialName("y") val excludedServers: Set<BackendServerId> = emptySet()
+        @SerialName("y") val excludedServers: Set<BackendServerId> = emptySet(),
+        @SerialName("h") val isStarted: Boolean = false
     ) : SlotMessage {
         val work: WorkEstimate get() = WorkEstimate(
             promptTokens = promptTokens,
--- a/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/slots/SlotOwner.kt
+++ b/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/slots/SlotOwner.kt
@@ -297,6 +297,7 @@
             avoid = request.tried,
             excludedServers = request.excludedServers,
             domain = request.domain,
+            isStarted = request.isStarted,
             isRelayedHere = isRelayedHere
         )
     }
--- /dev/null
+++ b/gateway/forwarding/src/test/kotlin/org/hyssoprack/gateway/forwarding/failover/BrokenStreamTest.kt
@@ -0,0 +1,74 @@
+package org.hyssoprack.gateway.forwarding.failover
+
+import assertk.assertThat
+import assertk.assertions.isEqualTo
+import assertk.assertions.isTrue
+import kotlinx.coroutines.delay
+import kotlinx.coroutines.test.runTest
+import net.jqwik.api.Example
+import org.hyssoprack.serving.settings.RouteKind
+
+class BrokenStreamTest {
+    @Example
+    fun `a stream that its server breaks off waits for another one as long as its caller does`() {
+        class Case(
+            val name: String,
+            val lostAfterMs: Long,
+            val freeAfterMs: Long,
+            val isWhole: Boolean
+        )
+        val cases = listOf(
+            Case("broken off soon", lostAfterMs = 100, freeAfterMs = 2_500, isWhole = true),
+            Case("broken off late", lostAfterMs = 5_000, freeAfterMs = 7_500, isWhole = true),
+            Case("no slot in time", lostAfterMs = 100, freeAfterMs = 9_000, isWhole = false)
+        )
+        for (case in cases) {
+            runTest {
+                val host = ForwardingFixture(this, serverCount = 2)
+                host.scriptAll { exchange, response ->
+                    response.head()
+                    if (exchange == 0) breakOff(response, case.lostAfterMs) else finish(response)
+                }
+                val (response, _) = host.send(RouteKind.RESUMABLE_STREAM)
+                delay(10)
+                host.occupyFreeSlots(forMs = case.freeAfterMs)
+                host.occupyOnRelease(forMs = case.freeAfterMs)
+                delay(ForwardingFixture.TIMEOUT_MS)
+                assertThat(response.isComplete, case.name).isEqualTo(case.isWhole)
+                assertThat(response.isAborted, case.name).isEqualTo(!case.isWhole)
+                assertThat(host.queueLength, case.name).isEqualTo(0)
+            }
+        }
+    }
+
+    @Example
+    fun `a started stream goes ahead of new requests that can be on time`() = runTest {
+        val host = ForwardingFixture(this, serverCount = 1)
+        host.scriptAll { exchange, response ->
+            response.head()
+            if (exchange == 0) breakOff(response, lostAfterMs = 400) else delay(50)
+            if (exchange > 0) finish(response)
+        }
+        val (started, _) = host.send(RouteKind.RESUMABLE_STREAM)
+        delay(350)
+        val others = List(6) { host.send(RouteKind.RESUMABLE_STREAM).first }
+        delay(3_000)
+        assertThat(started.isComplete).isTrue()
+        assertThat(started.events).isEqualTo(listOf(1, 2, 3))
+        // The first of the others gets the slot that the broken stream leaves.
+        assertThat(host.servers.exchanges[2].from).isEqualTo(2)
+        assertThat(others.count { it.isComplete }).isEqualTo(others.size)
+    }
+
+    private suspend fun breakOff(response: ScriptedServers.Response, lostAfterMs: Long) {
+        response.event(1)
+        delay(lostAfterMs)
+        response.event(2)
+        response.lose()
+    }
+
+    private fun finish(response: ScriptedServers.Response) {
+        for (id in response.from + 1..3) response.event(id)
+        response.end()
+    }
+}
--- a/gateway/forwarding/src/test/kotlin/org/hyssoprack/gateway/forwarding/failover/ForwardingFixture.kt
+++ b/gateway/forwarding/src/test/kotlin/org/hyssoprack/gateway/forwarding/failover/ForwardingFixture.kt
@@ -142,6 +142,17 @@
         }
     }
 
+    /** Takes each slot that becomes free within [forMs], until then. */
+    fun occupyOnRelease(forMs: Long) {
+        val endMs = nowMs + forMs
+        test.backgroundScope.launch {
+            while (nowMs < endMs) {
+                if (usedSlots < pools[service].servers.size) occupyFreeSlots(forMs = endMs - nowMs)
+                delay(1)
+            }
+        }
+    }
+
     /** Sends a request and returns its response, which is in progress, and the job that serves it. */
     fun send(kind: RouteKind): Pair<RecordedResponse, Job> {
         val headers = DefaultHttpHeaders()
--- a/gateway/forwarding/src/test/kotlin/org/hyssoprack/gateway/forwarding/failover/ScriptedServers.kt
+++ b/gateway/forwarding/src/test/kotlin/org/hyssoprack/gateway/forwarding/failover/ScriptedServers.kt
@@ -49,12 +49,16 @@
         var closedMs: Long? = null
             private set
 
+        /** Last event that the caller had at the send. */
+        var from = 0
+            private set
+
         override val isReused = false
 
         override fun send(method: HttpMethod, uri: String, headers: HttpHeaders, body: ByteArray) {
             sentMs = clock.nowMs()
             exchanges += this
-            val from = headers[LAST_EVENT_ID]?.toInt() ?: 0
+            from = headers[LAST_EVENT_ID]?.toInt() ?: 0
             val response = Response(headers[REQUEST_ID], from) {
                 parts += it
                 arrival?.complete(Unit)
--- a/gateway/forwarding/src/test/kotlin/org/hyssoprack/gateway/forwarding/failover/StalledResponseTest.kt
+++ b/gateway/forwarding/src/test/kotlin/org/hyssoprack/gateway/forwarding/failover/StalledResponseTest.kt
@@ -75,8 +75,10 @@
             host.scriptAll { _, response -> streamWithPause(response, pauseMs = 2_600) }
             val (response, _) = host.send(RouteKind.RESUMABLE_STREAM)
             delay(10)
-            host.occupyFreeSlots(forMs = 2_700)
+            host.occupyFreeSlots(forMs = 5_000)
             delay(2_650)
+            assertThat(host.queueLength).isEqualTo(1)
+            delay(200)
             assertThat(host.queueLength).isEqualTo(0)
             delay(6_000)
             assertThat(response.isComplete).isTrue()
