Resume a started stream by the settings that it was admitted with

What callers saw: a stream that needed a second server was cut if newer settings no longer knew its key or route, were too old, or moved its route to another service.

Cause: the check against newer settings before each dispatch was also made for a response that had begun. Settings bind the requests that callers send after them; a running stream on its first server was never touched. A route that moved would also have joined the events of two services.

A request whose response has not begun is still checked.

--- a/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/RequestPlacement.kt
+++ b/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/RequestPlacement.kt
@@ -33,6 +33,8 @@
             val slot = slots.acquire(queued(call, progress), progress.charge).getOrElse {
                 return refused(call, progress, it)
             }
+            // Newer settings hold for requests that callers send after them.
+            if (progress.lastEventMs != null) return GrantedRequest(call, slot).right()
             val checked = admission.recheck(request, call).getOrElse {
                 slot.release(SlotResult(SlotOutcome.UNUSED))
                 return refused(call, progress, it)
