Read which parts of its prompt a request may share with others

What tells a part that crashes servers is what the crashed requests had in common, and nothing read it.

--- a/gateway/api/src/main/kotlin/org/hyssoprack/gateway/RequestMetadata.kt
+++ b/gateway/api/src/main/kotlin/org/hyssoprack/gateway/RequestMetadata.kt
@@ -1,5 +1,6 @@
 package org.hyssoprack.gateway
 
+import org.hyssoprack.common.PromptPartId
 import org.hyssoprack.serving.placement.WorkEstimate
 
 /**
@@ -11,6 +12,8 @@
  * @property work null if the request does not state its token counts.
  * @property quotaTokens tokens that are charged to a quota; null if the request does not state
  *   them.
+ * @property sharedParts parts of the prompt that other requests may share, in order; never the
+ *   request's own last part.
  */
 data class RequestMetadata(
     val id: String,
@@ -18,5 +21,6 @@
     val key: String? = null,
     val deadlineMs: Long? = null,
     val work: WorkEstimate? = null,
-    val quotaTokens: Int? = null
+    val quotaTokens: Int? = null,
+    val sharedParts: List<PromptPartId> = emptyList()
 )
