--- a/core/serving/src/main/kotlin/org/hyssoprack/serving/fleet/RegisteredServer.kt
+++ b/core/serving/src/main/kotlin/org/hyssoprack/serving/fleet/RegisteredServer.kt
@@ -11,6 +11,7 @@
  * @property bornMs start time in milliseconds since the epoch, which distinguishes instances that
  *   share an id; null if the server does not report it.
  * @property slots maximum number of concurrent requests.
+ * @property version version of the server's software; null if unknown.
  */
 data class RegisteredServer(
     val id: BackendServerId,
@@ -19,7 +20,8 @@
     val domain: FailureDomain,
     val slots: Int,
     val isLeaving: Boolean = false,
-    val bornMs: Long? = null
+    val bornMs: Long? = null,
+    val version: String? = null
 ) {
     /** The server instance that wrote the entry. */
     val instance: ServerInstance = ServerInstance(id = id, address = address, bornMs = bornMs)
