Give requests with a crashing part of the prompt a code and a cause

2013 prompt-part-blocked says that the request was not run because a part of its prompt crashes backend servers. `hyssoprack explain` names the cause PROMPT_PART, with the last ten `prompt-part` lines of that part up to the refusal, from all hosts. The part is read from the line's field or else from its detail; a line with neither is explained without evidence.

RequestExplainerTest: eight refusals, and a part with 41 lines.

--- a/core/common/src/main/kotlin/org/hyssoprack/common/ResultCode.kt
+++ b/core/common/src/main/kotlin/org/hyssoprack/common/ResultCode.kt
@@ -36,6 +36,12 @@
     NO_SETTINGS(2010, Outcome.NOT_RUN, 503, "No settings bundle has been accepted yet."),
     QUOTA_EXCEEDED(2011, Outcome.NOT_RUN, 429, "The account's quota is used up for now."),
     SERVERS_LIMITED(2012, Outcome.NOT_RUN, 503, "All backend servers accept a limited rate only."),
+    PROMPT_PART_BLOCKED(
+        2013,
+        Outcome.NOT_RUN,
+        503,
+        "A part of the prompt crashes backend servers."
+    ),
 
     STREAM_BROKEN(3000, Outcome.UNKNOWN, 502, "The answer ended early and could not be resumed."),
     STREAM_SILENT(3001, Outcome.UNKNOWN, 504, "The backend server sent no data in time."),
--- a/core/explain/src/main/kotlin/org/hyssoprack/explain/Cause.kt
+++ b/core/explain/src/main/kotlin/org/hyssoprack/explain/Cause.kt
@@ -23,6 +23,9 @@
     /** All backend servers of the service accept a limited rate of requests. */
     SERVER_LIMIT,
 
+    /** A part of the request's prompt crashes backend servers. */
+    PROMPT_PART,
+
     /** Most of the time passed at the backend server. */
     SLOW_SERVER,
 
--- a/core/explain/src/main/kotlin/org/hyssoprack/explain/RequestExplainer.kt
+++ b/core/explain/src/main/kotlin/org/hyssoprack/explain/RequestExplainer.kt
@@ -33,6 +33,7 @@
                 end,
                 "The host was stopping."
             )
+            ResultCode.PROMPT_PART_BLOCKED -> blocked(end)
             else -> explanation(Cause.NOT_ALLOWED, end, end["detail"].orEmpty())
         }
     }
@@ -68,6 +69,7 @@
         return when {
             code in CALLER_LEFT_CODES -> explanation(Cause.CALLER_LEFT, end, "The caller left.")
             code == ResultCode.SERVERS_LIMITED.wireName -> limited(end)
+            code == ResultCode.PROMPT_PART_BLOCKED.wireName -> blocked(end)
             code in NO_SLOT_CODES -> queued(end, "No slot was free in time: ${end["detail"]}")
             code in SERVER_FAILURE_CODES || isServerError(code) -> serverFailed(end)
             isMostlyQueued(end) -> queued(end, queueingSummary(end))
@@ -112,6 +114,21 @@
         )
     }
 
+    /** Explains a request that was refused for a part of its prompt, by what all hosts logged. */
+    private fun blocked(end: HostEvent): Explanation {
+        val part = end["part"] ?: partIn(end["detail"].orEmpty())
+        val history = events.filter { it.name == PROMPT_PART && part != null && it["part"] == part }
+            .takeWhile { it.ms <= end.ms }
+            .takeLast(MAX_PART_LINES)
+        return Explanation(
+            cause = Cause.PROMPT_PART,
+            summary = end["detail"] ?: "Part ${part ?: "unknown"} of the prompt crashes servers.",
+            evidence = listOf(end.line) + history.map { it.line }
+        )
+    }
+
+    private fun partIn(detail: String): String? = PART_PATTERN.find(detail)?.groupValues?.get(1)
+
     private fun serverFailed(end: HostEvent): Explanation {
         val server = end["servers"].orEmpty().substringAfterLast(',')
         val others = events
@@ -152,6 +169,7 @@
     private companion object {
         const val REQUEST_REFUSED = "request-refused"
         const val REQUEST_ENDED = "request-ended"
+        const val PROMPT_PART = "prompt-part"
         const val FIRST_ERROR_STATUS = 500
 
         // Callers of interactive routes notice a wait of this length.
@@ -162,6 +180,10 @@
 
         // A failed server is removed from the fleet within this time.
         const val SERVER_WINDOW_MS = 5_000L
+
+        /** Maximum number of log lines about a part of the prompt that are listed as evidence. */
+        const val MAX_PART_LINES = 10
+        val PART_PATTERN = Regex("""^Part (\S+) of the prompt""")
         val CALLER_LEFT_CODES = names(ResultCode.CALLER_LEFT, ResultCode.CALLER_LEFT_RUNNING)
         val NO_SLOT_CODES = names(
             ResultCode.QUEUE_FULL,
--- a/core/explain/src/test/kotlin/org/hyssoprack/explain/RequestExplainerTest.kt
+++ b/core/explain/src/test/kotlin/org/hyssoprack/explain/RequestExplainerTest.kt
@@ -97,18 +97,71 @@
             )
         )
         for (case in cases) {
-            val events = case.lines.mapNotNull { HostEvent.parse("2026-01-02T03:04:$it") }
-            val found = RequestExplainer(events).explain("x").getOrNull()
+            val found = explain(case.lines.toList())
             assertThat(found?.cause, case.name).isEqualTo(case.cause)
             assertThat(found?.summary.orEmpty(), case.name).contains(case.summary)
         }
     }
 
+    @Example
+    fun `a request refused for a part of its prompt is explained by that part's own log lines`() {
+        class BlockedCase(val name: String, val end: String, val summary: String, val count: Int)
+        val detail = "detail=\"Part 91bd of the prompt crashed 5 servers of the service.\""
+        val history = listOf(
+            "08.000 event=prompt-part self=a part=91bd change=suspected crashes=1",
+            "09.000 event=prompt-part self=b part=91bd change=blocked crashes=5",
+            "09.100 event=prompt-part self=b part=5c1e change=suspected crashes=1",
+            "09.200 event=prompt-part self=b change=suspected",
+            "11.000 event=prompt-part self=b part=91bd change=trial crashes=5"
+        )
+        val cases = listOf(
+            BlockedCase(
+                "ended",
+                ended("10.000", "x", "prompt-part-blocked", "$detail part=91bd"),
+                "Part 91bd of the prompt crashed 5",
+                count = 2
+            ),
+            BlockedCase("refused", refusedFor("$detail part=91bd"), "crashed 5", count = 2),
+            BlockedCase("part in the detail only", refusedFor(detail), "crashed 5", count = 2),
+            BlockedCase("part null", refusedFor("$detail part=null"), "crashed 5", count = 2),
+            BlockedCase("no detail", refusedFor("part=91bd"), "Part 91bd", count = 2),
+            BlockedCase("another detail", refusedFor("detail=blocked"), "blocked", count = 0),
+            BlockedCase("a part without lines", refusedFor("part=77"), "Part 77", count = 0),
+            BlockedCase("neither part nor detail", refusedFor(""), "Part unknown", count = 0)
+        )
+        for (case in cases) {
+            val found = explain(history + case.end)
+            assertThat(found?.cause, case.name).isEqualTo(Cause.PROMPT_PART)
+            assertThat(found?.summary.orEmpty(), case.name).contains(case.summary)
+            assertThat(found?.evidence?.first().orEmpty(), case.name).contains("request=x")
+            assertThat(found?.evidence?.drop(1).orEmpty(), case.name)
+                .isEqualTo(history.take(case.count).map { it.substringAfter(' ') })
+        }
+    }
+
+    @Example
+    fun `of many log lines about a part only the last ones before the refusal are listed`() {
+        val history = (10..50).map {
+            "08.0$it event=prompt-part self=a part=91bd change=trial number=$it"
+        }
+        val evidence = explain(history + refusedFor("part=91bd"))?.evidence.orEmpty()
+        assertThat(evidence.drop(1))
+            .isEqualTo(history.takeLast(10).map { it.substringAfter(' ') })
+    }
+
     @Example
     fun `an id without a log line is an error`() {
         assertThat(RequestExplainer(emptyList()).explain("x").isLeft()).isTrue()
     }
 
+    private fun explain(lines: List<String>): Explanation? {
+        val events = lines.mapNotNull { HostEvent.parse("2026-01-02T03:04:$it") }
+        return RequestExplainer(events).explain("x").getOrNull()
+    }
+
+    private fun refusedFor(more: String) =
+        "10.000 event=request-refused self=a request=x code=2013 $more"
+
     private fun ended(time: String, request: String, code: String, more: String) =
         "$time event=request-ended self=a request=$request route=r code=$code $more"
 }
