Take an answer as broken off when the rest of its request cannot be written

A server may begin its answer before it has read a long body, and reset the connection then. Netty closes the channel on a failed write without exceptionCaught, and the decoder ends an answer without a length as if the server had closed in order: the caller got 200 with what had arrived. The failed write is now recorded before the channel becomes inactive. A write that only fails because the channel is already closed is no reset: an answer that ends in order while its request is still being sent stays whole.

--- a/gateway/netty/src/main/kotlin/org/hyssoprack/gateway/netty/NettyServerConnection.kt
+++ b/gateway/netty/src/main/kotlin/org/hyssoprack/gateway/netty/NettyServerConnection.kt
@@ -16,6 +16,8 @@
 import io.netty.handler.codec.http.HttpVersion
 import io.netty.handler.codec.http.LastHttpContent
 import io.netty.util.ReferenceCountUtil
+import java.io.IOException
+import java.nio.channels.ClosedChannelException
 import kotlinx.coroutines.CompletableDeferred
 import org.hyssoprack.gateway.ResponsePart
 import org.hyssoprack.gateway.ServerConnection
@@ -57,7 +59,14 @@
         if (body.isNotEmpty() || method != HttpMethod.GET) {
             request.headers().set(HttpHeaderNames.CONTENT_LENGTH, body.size)
         }
-        channel?.writeAndFlush(request)
+        channel?.writeAndFlush(request)?.addListener { recordWriteFailure(it.cause()) }
+    }
+
+    // After a failed write Netty closes the channel without exceptionCaught, and the decoder ends a
+    // response without a length as if the server had closed the connection.
+    private fun recordWriteFailure(cause: Throwable?) {
+        val isReset = cause is IOException && cause !is ClosedChannelException
+        if (isReset) failure = failure ?: cause?.message ?: "write failed"
     }
 
     override suspend fun next(): ResponsePart {
