--- /dev/null
+++ b/core/serving/src/main/kotlin/org/hyssoprack/serving/limits/BlockRule.kt
@@ -0,0 +1,29 @@
+package org.hyssoprack.serving.limits
+
+/**
+ * Chooses the part that is blocked for a crash. A part that never had a first event needs fewer
+ * crashes than one that had. Crashes at about the same time have a common cause elsewhere, so they
+ * must extend over a time.
+ */
+internal class BlockRule(val hasBegun: (Suspect) -> Boolean) {
+    /** Returns the part to block among [suspects], or null if there is none. */
+    fun choose(suspects: List<Suspect>): Suspect? = suspects.filter { isDue(it) }.maxWithOrNull(
+        compareBy({ !hasBegun(it) }, { it.evidence.size }, { it.depth })
+    )
+
+    private fun isDue(suspect: Suspect): Boolean {
+        val evidence = suspect.evidence
+        val hasBegun = hasBegun(suspect)
+        val minCrashes = if (hasBegun) MIN_CRASHES_BEGUN else MIN_CRASHES
+        if (evidence.size < minCrashes) return false
+        val extentMs = evidence.maxOf { it.seenMs } - evidence.minOf { it.seenMs }
+        return extentMs >= if (hasBegun) MIN_EXTENT_BEGUN_MS else MIN_EXTENT_MS
+    }
+
+    internal companion object {
+        const val MIN_CRASHES = 3
+        const val MIN_EXTENT_MS = 500L
+        const val MIN_CRASHES_BEGUN = 5
+        const val MIN_EXTENT_BEGUN_MS = 2_000L
+    }
+}
