Refuse requests with a part of the prompt that crashes servers

Cause: failures were judged by server only, never by what the requests had in common; hosts did not read the parts of a prompt.

Requests now carry the parts that others may share to the slot owner. A connection that ends before the first event of a response is reported to the owner as a crash, a first event clears the parts of its request, and the owner's status tells all hosts what is blocked. Hosts without an owner decide by what they have seen. Owners of an older build send no records, which is not taken for a decision.

--- a/core/serving/src/main/kotlin/org/hyssoprack/serving/queue/QueuedRequest.kt
+++ b/core/serving/src/main/kotlin/org/hyssoprack/serving/queue/QueuedRequest.kt
@@ -2,6 +2,7 @@
 
 import org.hyssoprack.common.BackendServerId
 import org.hyssoprack.common.FailureDomain
+import org.hyssoprack.common.PromptPartId
 import org.hyssoprack.common.ServiceId
 import org.hyssoprack.serving.placement.PlacementRequest
 import org.hyssoprack.serving.placement.WorkEstimate
@@ -20,6 +21,7 @@
  * @property excludedServers servers that the host sending the request must not use.
  * @property domain failure domain of the host that sends the request; null for this host's.
  * @property isStarted whether the caller has received a part of the response.
+ * @property sharedParts parts of the prompt that other requests may share, in order.
  * @property isRelayedHere whether this host sends the request and relays the response.
  */
 class QueuedRequest(
@@ -35,6 +37,7 @@
     val excludedServers: Set<BackendServerId> = emptySet(),
     val domain: FailureDomain? = null,
     val isStarted: Boolean = false,
+    val sharedParts: List<PromptPartId> = emptyList(),
     val isRelayedHere: Boolean = true
 ) {
     /** Returns whether the response can still be on time. */
--- a/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/AttemptResult.kt
+++ b/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/AttemptResult.kt
@@ -22,8 +22,12 @@
     /** The server ran the request and returned a complete response. */
     class Answered(val status: Int, val headers: HttpHeaders, val body: ByteArray) : AttemptResult
 
-    /** The request may have run, and its response is incomplete. */
-    data class Broken(val reason: String) : AttemptResult
+    /**
+     * The request may have run, and its response is incomplete.
+     *
+     * @property isConnectionLost whether the server's connection ended.
+     */
+    data class Broken(val reason: String, val isConnectionLost: Boolean = false) : AttemptResult
 
     /**
      * The server made no progress for so long that the request goes to another one, which has
--- a/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/RequestForwarder.kt
+++ b/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/RequestForwarder.kt
@@ -28,7 +28,7 @@
     private val wire: WireFormat,
     private val connections: ServerConnections,
     private val admission: RequestAdmission,
-    pools: ServerPools,
+    private val pools: ServerPools,
     private val slots: SlotClient,
     private val retryBudget: RetryBudget,
     private val telemetry: RequestTelemetry,
@@ -37,7 +37,8 @@
     private val isRefusing: () -> Boolean = { false }
 ) : RequestHandler {
     private val statusHandler = ServerStatusHandler(pools, log)
-    private val placement = RequestPlacement(admission, slots, connections, telemetry, clock)
+    private val placement =
+        RequestPlacement(admission, pools.parts, slots, connections, telemetry, clock)
 
     /** Number of requests in progress. */
     var inProgress = 0
@@ -143,7 +144,8 @@
         progress = progress,
         relay = relay,
         statusHandler = statusHandler,
-        search = search
+        search = search,
+        parts = pools.parts.registry
     )
 
     private fun mayFailOver(call: AdmittedRequest, progress: RequestProgress): Boolean =
--- a/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/RequestPlacement.kt
+++ b/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/RequestPlacement.kt
@@ -10,6 +10,7 @@
 import org.hyssoprack.gateway.CallerRequest
 import org.hyssoprack.gateway.ServerConnections
 import org.hyssoprack.gateway.forwarding.slots.SlotClient
+import org.hyssoprack.serving.limits.PartGate
 import org.hyssoprack.serving.placement.SlotOutcome
 import org.hyssoprack.serving.placement.SlotResult
 import org.hyssoprack.serving.queue.QueuedRequest
@@ -17,6 +18,7 @@
 /** Acquires slots for requests, by the settings in force at the time of the grant. */
 internal class RequestPlacement(
     private val admission: RequestAdmission,
+    private val parts: PartGate,
     private val slots: SlotClient,
     private val connections: ServerConnections,
     private val telemetry: RequestTelemetry,
@@ -29,10 +31,18 @@
         progress: RequestProgress
     ): Either<Failure, GrantedRequest> {
         var call = admitted
+        val shared = call.metadata.sharedParts
         while (true) {
+            parts.refusalBeforeWait(call.service, shared)?.let {
+                return refused(call, progress, it)
+            }
             val slot = slots.acquire(queued(call, progress), progress.charge).getOrElse {
                 return refused(call, progress, it)
             }
+            parts.refusalBeforeSend(call.service, shared, slot.isTrial)?.let {
+                slot.release(SlotResult(SlotOutcome.UNUSED))
+                return refused(call, progress, it)
+            }
             // Newer settings hold for requests that callers send after them.
             if (progress.lastEventMs != null) return GrantedRequest(call, slot).right()
             val checked = admission.recheck(request, call).getOrElse {
@@ -97,7 +107,8 @@
             endMs = call.endMs,
             patienceMs = patienceMs,
             avoid = progress.triedServers,
-            isStarted = progress.lastEventMs != null
+            isStarted = progress.lastEventMs != null,
+            sharedParts = call.metadata.sharedParts
         )
     }
 
--- a/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/ServerAttempt.kt
+++ b/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/ServerAttempt.kt
@@ -18,6 +18,8 @@
 import org.hyssoprack.gateway.ServerConnection
 import org.hyssoprack.gateway.ServerConnections
 import org.hyssoprack.gateway.WireFormat
+import org.hyssoprack.serving.limits.CrashingPartRegistry
+import org.hyssoprack.serving.limits.PartCrash
 import org.hyssoprack.serving.placement.SlotOutcome
 import org.hyssoprack.serving.placement.SlotResult
 
@@ -26,6 +28,7 @@
  *
  * @param statusHandler handles the status that the server reports in its responses.
  * @param search searches another server while this one makes no progress.
+ * @param parts learns which parts of prompts crash servers, and which do not.
  */
 internal class ServerAttempt(
     private val wire: WireFormat,
@@ -36,7 +39,8 @@
     private val progress: RequestProgress,
     private val relay: StreamRelay,
     private val statusHandler: ServerStatusHandler,
-    private val search: ReplacementSearch
+    private val search: ReplacementSearch,
+    private val parts: CrashingPartRegistry
 ) {
     private val call = granted.call
     private val slot = granted.slot
@@ -47,6 +51,7 @@
     private var isUnlimited = false
     private var firstMs = 0L
     private var searchMs = startMs
+    private var hasBegun = false
 
     /**
      * Time of the response's last progress: its head, a complete event, or a part of a plain body.
@@ -63,6 +68,7 @@
     suspend fun run(): AttemptResult {
         try {
             val end = sendAndRelay()
+            if (end is AttemptResult.Broken && end.isConnectionLost && !hasBegun) recordCrash()
             slot.release(resultOf(end).copy(isUnlimited = isUnlimited))
             return end
         } finally {
@@ -115,7 +121,7 @@
             val part = nextPart(connection).getOrElse { return it }
             val head = when (part) {
                 is ResponsePart.Head -> part.response
-                is ResponsePart.Lost -> return AttemptResult.Broken(part.reason)
+                is ResponsePart.Lost -> return lost(part)
                 else -> continue
             }
             val metadata = wire.readAnswer(head)
@@ -185,7 +191,7 @@
             val part = nextPart(connection).getOrElse { return it }
             when (part) {
                 is ResponsePart.Body -> relayBytes(part.bytes)
-                is ResponsePart.Lost -> return AttemptResult.Broken(part.reason)
+                is ResponsePart.Lost -> return lost(part)
                 is ResponsePart.Head -> return AttemptResult.Broken(
                     "server sent a second response head"
                 )
@@ -204,6 +210,21 @@
         if (!relay.send(bytes)) return
         progressMs = clock.nowMs()
         progress.lastEventMs = progressMs
+        recordBegun()
+    }
+
+    private fun recordBegun() {
+        if (hasBegun) return
+        hasBegun = true
+        val server = state.server
+        parts.recordBegun(server.service, server.version, call.metadata.sharedParts)
+    }
+
+    private fun recordCrash() {
+        val server = state.server
+        val shared = call.metadata.sharedParts
+        if (shared.isEmpty()) return
+        parts.recordCrash(PartCrash(server.service, server.instance, server.version, shared))
     }
 
     /** Returns why a stream that still sends bytes is aborted, or null if it continues. */
@@ -238,7 +259,7 @@
                     progressMs = clock.nowMs()
                 }
 
-                is ResponsePart.Lost -> return AttemptResult.Broken(part.reason).left()
+                is ResponsePart.Lost -> return lost(part).left()
                 is ResponsePart.Head ->
                     return AttemptResult.Broken("server sent a second response head").left()
 
@@ -309,6 +330,9 @@
      */
     private fun isWithoutProgress(): Boolean = promptRead && relay.isStarted && silentMs >= STALL_MS
 
+    private fun lost(part: ResponsePart.Lost) =
+        AttemptResult.Broken(part.reason, isConnectionLost = true)
+
     /** Returns what [end] shows about the server. */
     private fun resultOf(end: AttemptResult): SlotResult = when (end) {
         is AttemptResult.Delivered -> streamResult()
@@ -330,6 +354,7 @@
 
     private fun responseResult(end: AttemptResult.Answered): SlotResult {
         if (end.status >= FIRST_FAILURE) return SlotResult(SlotOutcome.FAILED)
+        recordBegun()
         val callMs = (clock.nowMs() - startMs).takeIf { call.work.tokens == 0 }
         return SlotResult(SlotOutcome.SUCCEEDED, callMs = callMs)
     }
--- a/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/ServerPools.kt
+++ b/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/ServerPools.kt
@@ -8,6 +8,8 @@
 import org.hyssoprack.serving.fleet.RegisteredServer
 import org.hyssoprack.serving.fleet.ServerInstance
 import org.hyssoprack.serving.fleet.ServerLimitRegistry
+import org.hyssoprack.serving.limits.CrashingPartRegistry
+import org.hyssoprack.serving.limits.PartGate
 import org.hyssoprack.serving.placement.PeerLoad
 import org.hyssoprack.serving.placement.ServerChooser
 import org.hyssoprack.serving.settings.ServiceSpec
@@ -16,13 +18,15 @@
  * The [ServerPool]s of all services.
  *
  * @property limits request rates that servers accept from all hosts together.
+ * @property parts parts of prompts that crash servers.
  */
 class ServerPools(
     private val clock: Clock,
     private val chooser: ServerChooser,
     private val observer: QueueObserver = NoOpQueueObserver,
     private val leavingServers: LeavingServerRegistry = LeavingServerRegistry(clock),
-    val limits: ServerLimitRegistry = ServerLimitRegistry(clock, NoOpEventLog)
+    val limits: ServerLimitRegistry = ServerLimitRegistry(clock, NoOpEventLog),
+    val parts: PartGate = PartGate(CrashingPartRegistry(clock, NoOpEventLog))
 ) {
     private val pools = HashMap<ServiceId, ServerPool>()
     private var specs: Map<ServiceId, ServiceSpec> = emptyMap()
@@ -82,6 +86,10 @@
      */
     fun tick() = pools.values.forEach { it.dispatchWaiting() }
 
+    /** Forgets what is known of versions of the servers' software that are gone. */
+    fun forgetOldVersions() = registered.groupBy({ it.service }, { it.version })
+        .forEach { (service, versions) -> parts.registry.keepVersions(service, versions.toSet()) }
+
     private fun refresh() {
         limits.forgetOthers(registered.mapTo(HashSet()) { it.instance })
         val byService = registered.map { leavingServers.withLeavingFlag(it) }.groupBy { it.service }
--- a/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/slots/Lease.kt
+++ b/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/slots/Lease.kt
@@ -1,6 +1,7 @@
 package org.hyssoprack.gateway.forwarding.slots
 
 import org.hyssoprack.common.ClientAccount
+import org.hyssoprack.common.PromptPartId
 import org.hyssoprack.serving.placement.ServerState
 import org.hyssoprack.serving.placement.WorkEstimate
 import org.hyssoprack.serving.queue.QueuedRequest
@@ -9,6 +10,8 @@
  * One host's request at the slot owner, from the request to the release of the slot.
  *
  * @property endMs monotonic time after which the request cannot be in progress.
+ * @property sharedParts parts of the prompt that other requests may share.
+ * @property isTrial whether the request is a trial of a blocked part.
  * @param isRelayedHere whether this host relays the response.
  */
 internal class Lease(
@@ -17,7 +20,9 @@
     val endMs: Long,
     private val isRelayedHere: Boolean,
     val account: ClientAccount? = null,
-    val quota: Double = 0.0
+    val quota: Double = 0.0,
+    val sharedParts: List<PromptPartId> = emptyList(),
+    val isTrial: Boolean = false
 ) {
     /** The queued request; null unless it waits for a slot. */
     var waiting: QueuedRequest? = null
--- a/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/slots/Slot.kt
+++ b/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/slots/Slot.kt
@@ -12,6 +12,7 @@
  * @property owner slot owner that granted the slot; null if this host allocated it itself.
  * @property isAppliedHere whether changes are applied to [state] directly; false if this host is
  *   the owner, which applies them.
+ * @property isTrial whether the owner let the request through as a trial of a blocked part.
  * @param tokensAhead prompt tokens that the server has to read before the first event.
  * @param notifyOwner sends events of the slot to the slot owner.
  */
@@ -22,6 +23,7 @@
     val owner: HostId?,
     private val tokensAhead: Int,
     val isAppliedHere: Boolean,
+    val isTrial: Boolean = false,
     private val notifyOwner: (Slot, SlotMessage) -> Unit
 ) {
     /** Whether the first event has arrived. */
--- a/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/slots/SlotClient.kt
+++ b/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/slots/SlotClient.kt
@@ -58,7 +58,7 @@
      */
     suspend fun acquire(request: QueuedRequest, charge: QuotaCharge?): Either<Failure, Slot> {
         // The owner learns of a limit before it gets the next request.
-        if (pools.limits.hasNews) tick()
+        if (pools.limits.hasNews || pools.parts.registry.hasNews) tick()
         val owner = responsiveOwner() ?: return acquireLocally(request, charge)
         return requestFrom(owner, request, charge) ?: acquireLocally(request, charge)
     }
@@ -101,7 +101,8 @@
         val isNew = owner != knownOwner
         if (isNew) ownerChanged(owner)
         val nowMs = clock.nowMs()
-        val hasNews = pools.leaving.size > reportedLeaving || pools.limits.hasNews
+        val hasNews = pools.leaving.size > reportedLeaving || pools.limits.hasNews ||
+            pools.parts.registry.hasNews
         val isDue = nowMs - reportedMs >= REPORT_MS || hasNews
         if (owner != null && isDue) report(owner, isFirst = isNew)
         if (statusMs.let { it != null && nowMs - it > STATUS_LIFETIME_MS }) {
@@ -118,6 +119,7 @@
         reportedMs = Long.MIN_VALUE / 2
         if (owner == self.host) pools.clearPeerLoads()
         pools.limits.ownerChanged()
+        pools.parts.registry.ownerChanged()
         before?.let { send(it, SlotMessage.Report(isLast = true)) }
     }
 
@@ -147,7 +149,8 @@
         val usedShares = if (isFirst) quota.usedShares.orEmpty() else emptyMap()
         val limits = if (isFirst) pools.limits.all() else pools.limits.takeUnreported()
         val leaving = pools.leaving.toSet()
-        send(to, SlotMessage.Report(slots, quota.recent(), usedShares, leaving, limits))
+        val parts = pools.parts.takeReport(isFirst)
+        send(to, SlotMessage.Report(slots, quota.recent(), usedShares, leaving, limits, parts))
     }
 
     private fun updateStatus(from: HostRef, status: SlotMessage.OwnerStatus) {
@@ -156,6 +159,7 @@
         status.leaving.forEach { pools.markLeaving(it) }
         if (from.host == self.host) return
         pools.limits.confirm(status.limits, from.host)
+        status.parts?.let { pools.parts.registry.confirm(it, from.host) }
         statusMs = clock.nowMs()
         pools.setFleetLoads(status.loads)
     }
@@ -274,7 +278,15 @@
         }
         val isOwn = owner == self.host
         if (!isOwn) state.recordDispatch(request.work)
-        return slot(granted.number, request, owner, granted.promptTokens, !isOwn, state)
+        return slot(
+            number = granted.number,
+            request = request,
+            owner = owner,
+            tokensAhead = granted.promptTokens,
+            isAppliedHere = !isOwn,
+            state = state,
+            isTrial = granted.isTrial
+        )
     }
 
     private suspend fun acquireLocally(
@@ -297,9 +309,18 @@
         owner: HostId?,
         tokensAhead: Int,
         isAppliedHere: Boolean,
-        state: ServerState
-    ): Slot = Slot(number, request, state, owner, tokensAhead, isAppliedHere, ::notifyOwner)
-        .also { running[number] = it }
+        state: ServerState,
+        isTrial: Boolean = false
+    ): Slot = Slot(
+        number = number,
+        request = request,
+        state = state,
+        owner = owner,
+        tokensAhead = tokensAhead,
+        isAppliedHere = isAppliedHere,
+        isTrial = isTrial,
+        notifyOwner = ::notifyOwner
+    ).also { running[number] = it }
 
     /**
      * Sends [message] to the owner, and to the one that granted the slot if the owner has changed
@@ -336,7 +357,8 @@
             patienceMs = request.patienceMs,
             tried = request.avoid,
             excludedServers = excludedServers(owner, request.service) + unusable,
-            isStarted = request.isStarted
+            isStarted = request.isStarted,
+            sharedParts = request.sharedParts
         )
     }
 
--- a/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/slots/SlotMessage.kt
+++ b/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/slots/SlotMessage.kt
@@ -9,9 +9,12 @@
 import org.hyssoprack.common.ClientAccount
 import org.hyssoprack.common.FailureDomain
 import org.hyssoprack.common.HostMessage
+import org.hyssoprack.common.PromptPartId
 import org.hyssoprack.common.ServiceId
 import org.hyssoprack.serving.fleet.ServerInstance
 import org.hyssoprack.serving.fleet.ServerLimit
+import org.hyssoprack.serving.limits.PartReport
+import org.hyssoprack.serving.limits.SuspectPart
 import org.hyssoprack.serving.placement.PeerLoad
 import org.hyssoprack.serving.placement.SlotResult
 import org.hyssoprack.serving.placement.WorkEstimate
@@ -37,6 +40,7 @@
      * @property tried servers that have already failed the request.
      * @property excludedServers servers that the sender must not use.
      * @property isStarted whether the caller has received a part of the response.
+     * @property sharedParts parts of the prompt that other requests may share, in order.
      */
     @Serializable
     @SerialName("sa")
@@ -56,7 +60,8 @@
         @SerialName("m") val patienceMs: Long,
         @SerialName("x") val tried: Set<BackendServerId> = emptySet(),
         @SerialName("y") val excludedServers: Set<BackendServerId> = emptySet(),
-        @SerialName("h") val isStarted: Boolean = false
+        @SerialName("h") val isStarted: Boolean = false,
+        @SerialName("c") val sharedParts: List<PromptPartId> = emptyList()
     ) : SlotMessage {
         val work: WorkEstimate get() = WorkEstimate(
             promptTokens = promptTokens,
@@ -75,6 +80,8 @@
      * @property promptTokens prompt tokens that the server has to read before the request's first
      *   event.
      * @property isLimitKept whether the owner counted the request against a rate limit of the server.
+     * @property isTrial whether the request has a blocked part and shows whether it still crashes
+     *   servers.
      */
     @Serializable
     @SerialName("sg")
@@ -82,7 +89,8 @@
         @SerialName("n") val number: Long,
         @SerialName("s") val server: BackendServerId,
         @SerialName("p") val promptTokens: Int = 0,
-        @SerialName("l") val isLimitKept: Boolean = false
+        @SerialName("l") val isLimitKept: Boolean = false,
+        @SerialName("t") val isTrial: Boolean = false
     ) : SlotMessage
 
     /** The request is rejected; [code] is the number of a result code. */
@@ -134,6 +142,7 @@
      * @property leaving server instances that announced their shutdown.
      * @property limits rate limits that servers named, as far as the owner may not know them; all in
      *   the first report to an owner.
+     * @property parts what the owner may not know of parts of prompts that may crash servers.
      * @property isLast whether the sender uses another owner from now on.
      */
     @Serializable
@@ -144,6 +153,7 @@
         @SerialName("t") val usedShares: Map<ClientAccount, Double> = emptyMap(),
         @SerialName("l") val leaving: Set<ServerInstance> = emptySet(),
         @SerialName("m") val limits: List<ServerLimit> = emptyList(),
+        @SerialName("c") val parts: PartReport? = null,
         @SerialName("z") val isLast: Boolean = false
     ) : SlotMessage
 
@@ -164,6 +174,8 @@
      * @property usedShares used share of accounts' quotas; 0 for accounts that are left out.
      * @property loads load of all hosts on each server.
      * @property limits rate limits that the owner keeps.
+     * @property parts what the owner knows of parts of prompts that may crash servers; null from an
+     *   owner of an older build.
      */
     @Serializable
     @SerialName("sn")
@@ -171,7 +183,8 @@
         @SerialName("t") val usedShares: Map<ClientAccount, Double> = emptyMap(),
         @SerialName("o") val loads: Map<BackendServerId, PeerLoad> = emptyMap(),
         @SerialName("l") val leaving: Set<ServerInstance> = emptySet(),
-        @SerialName("m") val limits: List<ServerLimit> = emptyList()
+        @SerialName("m") val limits: List<ServerLimit> = emptyList(),
+        @SerialName("c") val parts: List<SuspectPart>? = null
     ) : SlotMessage
 }
 
--- a/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/slots/SlotOwner.kt
+++ b/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/slots/SlotOwner.kt
@@ -1,6 +1,7 @@
 package org.hyssoprack.gateway.forwarding.slots
 
 import arrow.core.Either
+import arrow.core.getOrElse
 import org.hyssoprack.common.ClientAccount
 import org.hyssoprack.common.Clock
 import org.hyssoprack.common.EventLog
@@ -42,6 +43,7 @@
     private var statusMs = Long.MIN_VALUE / 2
     private var sentShares: Map<ClientAccount, Double> = emptyMap()
     private var sentLimitChanges = 0
+    private var sentPartChanges = 0
 
     private class Client(var reportedMs: Long?) {
         val leases = HashMap<Long, Lease>()
@@ -74,7 +76,7 @@
 
     /**
      * Sends the [SlotMessage.OwnerStatus] to the hosts that report: at intervals, and immediately
-     * if a rate limit has changed or the usage of an account has grown by [STATUS_GROWTH]. Drops
+     * if a rate limit or what is known of parts of prompts has changed, or the usage of an account has grown by [STATUS_GROWTH]. Drops
      * expired leases. Called several times a second.
      */
     fun tick() {
@@ -87,7 +89,10 @@
         val isDue = nowMs - statusMs >= STATUS_MS
         if (isDue) dropExpired(nowMs)
         val isLimitChanged = pools.limits.changes != sentLimitChanges
-        if (isDue || hasGrown || isLimitChanged) sendStatus(usedShares)
+        val isPartChanged = pools.parts.registry.changes != sentPartChanges
+        if (isPartChanged) refuseBlocked()
+        if (isDue) pools.forgetOldVersions()
+        if (isDue || hasGrown || isLimitChanged || isPartChanged) sendStatus(usedShares)
     }
 
     private fun dropExpired(nowMs: Long) {
@@ -101,13 +106,15 @@
         sentShares = usedShares
         statusMs = clock.nowMs()
         sentLimitChanges = pools.limits.changes
+        sentPartChanges = pools.parts.registry.changes
         val hosts = reportingHosts(FRESH_MS)
         if (hosts.isEmpty()) return
         val status = SlotMessage.OwnerStatus(
             usedShares = usedShares,
             loads = pools.loads(),
             leaving = pools.leaving,
-            limits = pools.limits.all()
+            limits = pools.limits.all(),
+            parts = pools.parts.registry.records()
         )
         hosts.forEach { send(it, status) }
     }
@@ -118,6 +125,9 @@
     private fun handleRequest(from: HostRef, request: SlotMessage.Request) {
         val client = client(from)
         if (client.reportedMs == null) send(from.host, SlotMessage.ReportRequest)
+        val isTrial = pools.parts.admit(request.service, request.sharedParts).getOrElse {
+            return refuse(from, request.number, it)
+        }
         charge(from, request)?.let { return refuse(from, request.number, it) }
         val lease = Lease(
             number = request.number,
@@ -125,7 +135,9 @@
             endMs = clock.nowMs() + request.endMs,
             isRelayedHere = from == self,
             account = request.account,
-            quota = request.quota
+            quota = request.quota,
+            sharedParts = request.sharedParts,
+            isTrial = isTrial
         )
         client.leases[request.number] = lease
         val queued = requestOf(request, isRelayedHere = from == self)
@@ -176,19 +188,38 @@
             },
             {
                 lease.granted(it, clock.nowMs())
+                refusalOf(lease)?.let { failure -> return takeBack(from, lease, failure) }
                 send(
                     from.host,
                     SlotMessage.Granted(
                         number = lease.number,
                         server = it.server.id,
                         promptTokens = lease.tokensAhead,
-                        isLimitKept = it.rateLimit != null
+                        isLimitKept = it.rateLimit != null,
+                        isTrial = lease.isTrial
                     )
                 )
             }
         )
     }
 
+    private fun refusalOf(lease: Lease): Failure? {
+        val service = lease.state?.server?.service ?: lease.waiting?.service ?: return null
+        return pools.parts.refusalBeforeSend(service, lease.sharedParts, lease.isTrial)
+    }
+
+    /** Refuses a request that waits or was granted a slot that its host does not know of yet. */
+    private fun takeBack(from: HostRef, lease: Lease, failure: Failure) {
+        cancelled(from, lease.number)
+        refuse(from, lease.number, failure)
+    }
+
+    /** Refuses the waiting requests with a part that has been blocked meanwhile. */
+    private fun refuseBlocked() = clients.toList().forEach { (host, client) ->
+        client.leases.values.filter { it.waiting != null && it.sharedParts.isNotEmpty() }
+            .forEach { lease -> refusalOf(lease)?.let { takeBack(host, lease, it) } }
+    }
+
     private fun refuse(from: HostRef, number: Long, failure: Failure) = send(
         from.host,
         SlotMessage.Refused(number, failure.code.number, failure.detail, failure.retryAfterMs)
@@ -204,6 +235,9 @@
     private fun promptRead(from: HostRef, message: SlotMessage.PromptRead) {
         val lease = lease(from, message.number) ?: return
         if (!lease.recordPromptRead()) return
+        lease.state?.server?.let {
+            pools.parts.registry.recordBegun(it.service, it.version, lease.sharedParts)
+        }
         lease.state?.speed?.recordPrompt(tokens = lease.tokensAhead, firstMs = message.firstMs)
     }
 
@@ -233,6 +267,8 @@
         report.limits.forEach { pools.limits.recordNamed(it, from.host) }
         quotas.inherit(accounts().values, report.usedShares)
         quotas.reconcile(from, report.used)
+        if (from != self) report.parts?.let { pools.parts.accept(it, from.host) }
+        if (report.parts?.crashes.orEmpty().isNotEmpty()) tick()
         val running = report.running.associateBy { it.number }
         client.leases.values
             .filter {
@@ -298,6 +334,7 @@
             excludedServers = request.excludedServers,
             domain = request.domain,
             isStarted = request.isStarted,
+            sharedParts = request.sharedParts,
             isRelayedHere = isRelayedHere
         )
     }
