Lose no part of a response while another server is searched

If the timer ran between the arrival of a part and the resumption of the select, the part had been taken from the connection and was dropped: an event missing in a stream that ends as complete.

Now the host waits for the next part only, for shorter times while a search is pending; a wait that ends loses no part. The search is withdrawn as soon as the response makes progress: before, a caller that read slowly held the slot of a second server until it had read on.

--- a/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/ReplacementSearch.kt
+++ b/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/ReplacementSearch.kt
@@ -4,7 +4,6 @@
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Deferred
 import kotlinx.coroutines.ExperimentalCoroutinesApi
-import kotlinx.coroutines.Job
 import kotlinx.coroutines.async
 import org.hyssoprack.common.Clock
 import org.hyssoprack.common.Failure
@@ -25,20 +24,16 @@
     private var search: Deferred<Either<Failure, GrantedRequest>>? = null
     private var pausedUntilMs = Long.MIN_VALUE
 
-    /** The last search, until its result is taken; null if there is none. */
-    val pending: Job? get() = search
-
-    /** Whether a search has ended and its result has not been taken. */
-    val isOver: Boolean get() = search?.isCompleted ?: false
+    /** Whether there is a search whose result has not been taken. */
+    val isPending: Boolean get() = search != null
 
     /**
      * Starts a search, unless one is in progress, the last one has just failed, or the request may
-     * not go to another server. Returns whether it was started.
+     * not go to another server.
      */
-    fun start(): Boolean {
-        if (search != null || clock.nowMs() < pausedUntilMs || !isAllowed()) return false
+    fun start() {
+        if (search != null || clock.nowMs() < pausedUntilMs || !isAllowed()) return
         search = scope.async { acquire() }
-        return true
     }
 
     /** Returns the result of a search that has ended, or null if it found nothing. */
--- a/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/ServerAttempt.kt
+++ b/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/ServerAttempt.kt
@@ -6,9 +6,6 @@
 import arrow.core.right
 import io.netty.handler.codec.http.HttpResponse
 import java.io.ByteArrayOutputStream
-import kotlinx.coroutines.async
-import kotlinx.coroutines.coroutineScope
-import kotlinx.coroutines.selects.select
 import kotlinx.coroutines.withTimeoutOrNull
 import org.hyssoprack.common.Clock
 import org.hyssoprack.gateway.CallerRequest
@@ -50,7 +47,9 @@
     private var promptRead = false
     private var isUnlimited = false
     private var firstMs = 0L
-    private var searchMs = startMs
+
+    /** Time of the last part, or of the last report that there was none. */
+    private var silenceFromMs = startMs
     private var hasBegun = false
 
     /**
@@ -197,6 +196,7 @@
                 )
                 ResponsePart.End -> break
             }
+            replacementOfTrickling()?.let { return AttemptResult.Stalled(it) }
             streamFault()?.let { return AttemptResult.Broken(it) }
         }
         if (!relay.isWhole) return AttemptResult.Broken("stream ended within an event")
@@ -207,10 +207,25 @@
 
     private suspend fun relayBytes(bytes: ByteArray) {
         if (!promptRead) recordFirstBytes()
-        if (!relay.send(bytes)) return
+        relay.send(bytes) {
+            recordProgress()
+            progress.lastEventMs = progressMs
+            recordBegun()
+        }
+    }
+
+    /**
+     * Returns the replacement of a server that sends bytes but no complete event; null if it is to
+     * go on.
+     */
+    private fun replacementOfTrickling(): GrantedRequest? {
+        if (!isWithoutProgress()) return null
+        return search.take().also { if (it == null) search.start() }
+    }
+
+    private fun recordProgress() {
         progressMs = clock.nowMs()
-        progress.lastEventMs = progressMs
-        recordBegun()
+        search.cancel()
     }
 
     private fun recordBegun() {
@@ -256,7 +271,7 @@
                         ).left()
                     }
                     body.write(part.bytes)
-                    progressMs = clock.nowMs()
+                    recordProgress()
                 }
 
                 is ResponsePart.Lost -> return lost(part).left()
@@ -276,46 +291,34 @@
         connection: ServerConnection
     ): Either<AttemptResult, ResponsePart> {
         while (true) {
-            if (progressMs > searchMs) search.cancel()
-            search.take()?.let { return AttemptResult.Stalled(it).left() }
-            if (isWithoutProgress()) startSearch()
             val part = awaitPart(connection)
             if (part == null) {
+                search.take()?.let { return AttemptResult.Stalled(it).left() }
                 handleSilence()
                 continue
             }
             state.recordActivity()
+            silenceFromMs = clock.nowMs()
             if (part !is ResponsePart.Body) search.cancel()
             return part.right()
         }
     }
 
     private fun handleSilence() {
-        if (search.isOver) return
+        if (clock.nowMs() - silenceFromMs < NO_DATA_MS) return
+        silenceFromMs = clock.nowMs()
         slot.reportStalled()
-        if (isStalled()) startSearch()
-    }
-
-    private fun startSearch() {
-        if (search.start()) searchMs = clock.nowMs()
+        if (isStalled()) search.start()
     }
 
     /**
-     * Waits for the next part. Returns null if none arrives in [NO_DATA_MS] or before the search
-     * for another server ends.
+     * Waits for the next part. Returns null if none arrives for a time, which is shorter while
+     * another server is searched.
      */
-    private suspend fun awaitPart(connection: ServerConnection): ResponsePart? =
-        withTimeoutOrNull(NO_DATA_MS) {
-            val pending = search.pending ?: return@withTimeoutOrNull connection.next()
-            coroutineScope {
-                val next = async { connection.next() }
-                select {
-                    next.onJoin {}
-                    pending.onJoin {}
-                }
-                if (next.isCompleted) next.await() else null.also { next.cancel() }
-            }
-        }
+    private suspend fun awaitPart(connection: ServerConnection): ResponsePart? {
+        val waitMs = if (search.isPending) SEARCH_CHECK_MS else NO_DATA_MS
+        return withTimeoutOrNull(waitMs) { connection.next() }
+    }
 
     /**
      * Returns whether the server has made no progress for so long that another one is likely to be
@@ -372,6 +375,8 @@
         // which callers wait for an event.
         const val NO_DATA_MS = 1_000L
 
+        const val SEARCH_CHECK_MS = 20L
+
         // Longer than healthy servers take to read the largest prompts.
         const val STALL_MS = 2_000L
 
--- a/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/StreamRelay.kt
+++ b/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/StreamRelay.kt
@@ -30,12 +30,15 @@
     /** Number of bytes buffered because their event is incomplete. */
     val pendingBytes: Int get() = events.pendingBytes
 
-    /** Relays the events that are complete with [bytes]. Returns whether there were any. */
-    suspend fun send(bytes: ByteArray): Boolean {
+    /**
+     * Relays the events that are complete with [bytes]. Calls [onEvents] before if there are any,
+     * since the caller may read slowly.
+     */
+    suspend fun send(bytes: ByteArray, onEvents: () -> Unit) {
         val complete = events.add(bytes)
-        if (complete.isEmpty()) return false
+        if (complete.isEmpty()) return
+        onEvents()
         answer.send(complete)
-        return true
     }
 
     suspend fun end() = answer.end()
--- a/gateway/forwarding/src/test/kotlin/org/hyssoprack/gateway/forwarding/failover/ForwardingFixture.kt
+++ b/gateway/forwarding/src/test/kotlin/org/hyssoprack/gateway/forwarding/failover/ForwardingFixture.kt
@@ -50,6 +50,7 @@
     private val service = ServiceId("s")
     private val addresses = List(serverCount) { NetworkAddress("127.0.0.1", FIRST_PORT + it) }
     private val pools = ServerPools(clock, ServerChooser(FailureDomain("z"), Random(1)))
+    private var lastRequest = 0
     private var maxAgeMs = Long.MAX_VALUE
     private val settings = ActiveSettings(clock, maxAgeMs = { maxAgeMs })
     private val slots = SlotClient(
@@ -171,7 +172,7 @@
     /** Sends a request and returns its response, which is in progress, and the job that serves it. */
     fun send(kind: RouteKind): Pair<RecordedResponse, Job> {
         val headers = DefaultHttpHeaders()
-            .set(ScriptedServers.REQUEST_ID, "r${servers.exchanges.size}")
+            .set(ScriptedServers.REQUEST_ID, "r${lastRequest++}")
             .set(PlainWireFormat.KEY, KEY)
         val request = CallerRequest(
             method = HttpMethod.POST,
@@ -196,7 +197,7 @@
         const val TIMEOUT_MS = 12_000L
         private const val KEY = "k"
         private const val FIRST_PORT = 9_000
-        private const val WINDOW_MS = 10_000L
+        const val WINDOW_MS = 10_000L
         private const val TARGET_MS = 400L
         private const val TICK_MS = 20L
 
--- a/gateway/forwarding/src/test/kotlin/org/hyssoprack/gateway/forwarding/failover/RecordedResponse.kt
+++ b/gateway/forwarding/src/test/kotlin/org/hyssoprack/gateway/forwarding/failover/RecordedResponse.kt
@@ -1,6 +1,7 @@
 package org.hyssoprack.gateway.forwarding.failover
 
 import io.netty.handler.codec.http.HttpHeaders
+import kotlinx.coroutines.delay
 import org.hyssoprack.gateway.ResponseWriter
 
 /** The response to one request, as its caller sees it. */
@@ -29,8 +30,12 @@
         this.status = status
     }
 
+    /** Time for which each write waits until the caller reads, in milliseconds. */
+    var readDelayMs = 0L
+
     override suspend fun send(bytes: ByteArray) {
         body.append(bytes.decodeToString())
+        delay(readDelayMs)
     }
 
     override suspend fun end() {
--- a/gateway/forwarding/src/test/kotlin/org/hyssoprack/gateway/forwarding/failover/ScriptedServers.kt
+++ b/gateway/forwarding/src/test/kotlin/org/hyssoprack/gateway/forwarding/failover/ScriptedServers.kt
@@ -49,6 +49,13 @@
         var closedMs: Long? = null
             private set
 
+        var requestId = ""
+            private set
+
+        /** Whether the request was sent to a server before. */
+        var isRepeat = false
+            private set
+
         /** Last event that the caller had at the send. */
         var from = 0
             private set
@@ -57,6 +64,8 @@
 
         override fun send(method: HttpMethod, uri: String, headers: HttpHeaders, body: ByteArray) {
             sentMs = clock.nowMs()
+            isRepeat = exchanges.any { it.requestId == headers[REQUEST_ID] }
+            requestId = headers[REQUEST_ID]
             exchanges += this
             from = headers[LAST_EVENT_ID]?.toInt() ?: 0
             val response = Response(headers[REQUEST_ID], from) {
--- a/gateway/forwarding/src/test/kotlin/org/hyssoprack/gateway/forwarding/failover/StalledResponseTest.kt
+++ b/gateway/forwarding/src/test/kotlin/org/hyssoprack/gateway/forwarding/failover/StalledResponseTest.kt
@@ -83,6 +83,20 @@
             assertThat(host.usedSlots).isEqualTo(0)
         }
 
+    @Example
+    fun `a caller that reads slowly holds no slot of a second server`() =
+        run(serverCount = 2) { host ->
+            host.scriptAll { _, response -> streamWithPause(response, pauseMs = 1_400) }
+            val (response, _) = host.send(RouteKind.RESUMABLE_STREAM)
+            delay(10)
+            host.occupyFreeSlots(forMs = 2_000)
+            delay(1_400)
+            response.readDelayMs = 2_000
+            delay(1_500)
+            assertThat(host.usedSlots).isEqualTo(1)
+            assertThat(host.queueLength).isEqualTo(0)
+        }
+
     @Example
     fun `a plain response that a server holds back is not given up without another server`() {
         class Case(val name: String, val occupiedMs: Long, val exchanges: Int)
