--- a/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/ServerAttempt.kt
+++ b/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/ServerAttempt.kt
@@ -52,6 +52,9 @@
     private var silenceFromMs = startMs
     private var hasBegun = false
 
+    /** Time of the first bytes of an incomplete event; null if the last event was complete. */
+    private var tricklingSinceMs: Long? = null
+
     /**
      * Time of the response's last progress: its head, a complete event, or a part of a plain body.
      */
@@ -207,6 +210,7 @@
 
     private suspend fun relayBytes(bytes: ByteArray) {
         if (!promptRead) recordFirstBytes()
+        if (tricklingSinceMs == null) tricklingSinceMs = clock.nowMs()
         relay.send(bytes) {
             recordProgress()
             progress.lastEventMs = progressMs
@@ -223,7 +227,11 @@
         return search.take().also { if (it == null) search.start() }
     }
 
+    private fun isTricklingFor(ms: Long): Boolean =
+        tricklingSinceMs.let { it != null && clock.nowMs() - it >= ms }
+
     private fun recordProgress() {
+        tricklingSinceMs = null
         progressMs = clock.nowMs()
         search.cancel()
     }
@@ -246,7 +254,7 @@
     private fun streamFault(): String? = when {
         relay.pendingBytes > MAX_EVENT_BYTES -> "event exceeds $MAX_EVENT_BYTES bytes"
 
-        silentMs >= call.route.callerPatienceMs ->
+        isTricklingFor(call.route.callerPatienceMs) ->
             "no complete event for ${call.route.callerPatienceMs} ms"
 
         else -> null
--- a/gateway/forwarding/src/test/kotlin/org/hyssoprack/gateway/forwarding/failover/StalledResponseTest.kt
+++ b/gateway/forwarding/src/test/kotlin/org/hyssoprack/gateway/forwarding/failover/StalledResponseTest.kt
@@ -97,6 +97,24 @@
             assertThat(host.queueLength).isEqualTo(0)
         }
 
+    @Example
+    fun `an event in two pieces after a long silence does not end its stream`() =
+        run(serverCount = 1) { host ->
+            host.scriptAll { _, response ->
+                response.head()
+                response.event(1)
+                delay(6_000)
+                response.bytes("id: 2\nda")
+                delay(5)
+                response.bytes("ta: 2\n\n")
+                response.end()
+            }
+            val (response, _) = host.send(RouteKind.STREAM)
+            delay(8_000)
+            assertThat(response.events).isEqualTo(listOf(1, 2))
+            assertThat(response.isComplete).isTrue()
+        }
+
     @Example
     fun `a plain response that a server holds back is not given up without another server`() {
         class Case(val name: String, val occupiedMs: Long, val exchanges: Int)
