Count a stream as started from its head on

Found by the review: a stream whose head had been relayed, but no event yet, was still checked against newer settings and queued behind new requests, and a refusal cut it off.

--- a/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/RequestPlacement.kt
+++ b/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/RequestPlacement.kt
@@ -44,7 +44,7 @@
                 return refused(call, progress, it)
             }
             // Newer settings hold for requests that callers send after them.
-            if (progress.lastEventMs != null) return GrantedRequest(call, slot).right()
+            if (progress.isStarted) return GrantedRequest(call, slot).right()
             val checked = admission.recheck(request, call).getOrElse {
                 slot.release(SlotResult(SlotOutcome.UNUSED))
                 return refused(call, progress, it)
@@ -107,7 +107,7 @@
             endMs = call.endMs,
             patienceMs = patienceMs,
             avoid = progress.triedServers,
-            isStarted = progress.lastEventMs != null,
+            isStarted = progress.isStarted,
             sharedParts = call.metadata.sharedParts
         )
     }
--- a/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/RequestProgress.kt
+++ b/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/RequestProgress.kt
@@ -33,6 +33,9 @@
     /** Monotonic time of the first byte of the response body; null before it. */
     var firstByteMs: Long? = null
 
+    /** Whether the head of a stream has been sent to the caller. */
+    var isStarted = false
+
     /** Monotonic time at which the caller was last sent an event; null before the first. */
     var lastEventMs: Long? = null
 }
--- a/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/ServerAttempt.kt
+++ b/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/ServerAttempt.kt
@@ -189,6 +189,7 @@
         metadata: ResponseMetadata
     ): AttemptResult {
         relay.begin(head.status().code(), wire.answerHeaders(head.headers()))
+        progress.isStarted = true
         while (true) {
             val part = nextPart(connection).getOrElse { return it }
             when (part) {
--- a/gateway/forwarding/src/test/kotlin/org/hyssoprack/gateway/forwarding/failover/ResumeAfterSettingsTest.kt
+++ b/gateway/forwarding/src/test/kotlin/org/hyssoprack/gateway/forwarding/failover/ResumeAfterSettingsTest.kt
@@ -12,7 +12,7 @@
     @Example
     fun `a started stream is resumed where it began although newer settings refuse its like`() {
         class Change(val name: String, val apply: (ForwardingFixture) -> Unit)
-        class Break(val name: String, val isLost: Boolean)
+        class Break(val name: String, val isLost: Boolean, val events: Int = 2)
         val changes = listOf(
             Change("the key is gone") { it.accept(version = 2, isKeyKnown = false) },
             Change("the route is gone") { it.accept(version = 2, hasRoutes = false) },
@@ -21,7 +21,11 @@
             },
             Change("the settings are too old") { it.expireSettings() }
         )
-        val breaks = listOf(Break("silent", isLost = false), Break("broken off", isLost = true))
+        val breaks = listOf(
+            Break("silent", isLost = false),
+            Break("broken off", isLost = true),
+            Break("broken off after the head", isLost = true, events = 0)
+        )
         for (change in changes) {
             for (end in breaks) {
                 runTest {
@@ -29,7 +33,8 @@
                     val host = ForwardingFixture(this, serverCount = 3)
                     host.scriptAll { exchange, response ->
                         response.head()
-                        response.events(last = if (exchange == 0) 2 else 4)
+                        response.events(last = if (exchange == 0) end.events else 4)
+                        if (exchange == 0) delay(100)
                         if (exchange == 0 && end.isLost) response.lose()
                         if (exchange == 0) delay(SILENT_MS)
                         response.end()
