Take a retry from the budget when its slot is granted

Found by the review: a retry was taken from the budget before the wait for its slot, which may last as long as the caller's patience. The retries of two windows could reach a service in one: 12 within 8.6 s where the budget allows 6. A search that is withdrawn after its slot was granted lost its retry, and its connection went back to the pool with a new idle time.

Now the retry is taken at the grant and given back with an unused slot, and an unused connection is closed. Evidence: BrokenStreamTest, a retry that waits counts in the window in which it is sent (2 of 1 allowed before); StalledResponseTest, a withdrawn search uses up no retry.

--- a/core/serving/src/main/kotlin/org/hyssoprack/serving/limits/RetryBudget.kt
+++ b/core/serving/src/main/kotlin/org/hyssoprack/serving/limits/RetryBudget.kt
@@ -40,6 +40,11 @@
         return true
     }
 
+    /** Returns a retry that was consumed just before and not used. */
+    fun giveBack(service: ServiceId) {
+        retries[service]?.add(clock.nowMs(), -1.0)
+    }
+
     private companion object {
         // Safety margin, since windows slide and a host that just started has counted fewer
         // requests than were sent.
--- a/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/GrantedRequest.kt
+++ b/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/GrantedRequest.kt
@@ -15,14 +15,10 @@
     val slot: Slot,
     val connection: ServerConnection? = null
 ) {
-    /** Gives the slot and the connection back unused. */
+    /** Gives the slot back unused. */
     fun giveBack() {
         slot.release(SlotResult(SlotOutcome.UNUSED))
-        connection?.release(UNUSED_IDLE_MS)
-    }
-
-    private companion object {
-        // Shorter than servers keep idle connections.
-        const val UNUSED_IDLE_MS = 1_000L
+        // How long its server keeps the connection is not known any more.
+        connection?.close()
     }
 }
--- a/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/ReplacementSearch.kt
+++ b/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/ReplacementSearch.kt
@@ -14,12 +14,14 @@
  *
  * @param isAllowed returns whether the request may run on another server.
  * @param acquire waits for a slot of another server.
+ * @param giveBack gives a slot back that is not used.
  */
 internal class ReplacementSearch(
     private val scope: CoroutineScope,
     private val clock: Clock,
     private val isAllowed: () -> Boolean,
-    private val acquire: suspend () -> Either<Failure, GrantedRequest>
+    private val acquire: suspend () -> Either<Failure, GrantedRequest>,
+    private val giveBack: (GrantedRequest) -> Unit
 ) {
     private var search: Deferred<Either<Failure, GrantedRequest>>? = null
     private var pausedUntilMs = Long.MIN_VALUE
@@ -47,7 +49,7 @@
     fun cancel() {
         val ended = search ?: return
         search = null
-        ended.granted()?.giveBack()
+        ended.granted()?.let { giveBack(it) }
         ended.cancel()
     }
 
--- a/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/RequestForwarder.kt
+++ b/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/RequestForwarder.kt
@@ -1,10 +1,6 @@
 package org.hyssoprack.gateway.forwarding
 
-import arrow.core.Either
-import arrow.core.flatMap
 import arrow.core.getOrElse
-import arrow.core.left
-import arrow.core.right
 import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.coroutineScope
 import kotlinx.coroutines.withTimeoutOrNull
@@ -38,7 +34,15 @@
 ) : RequestHandler {
     private val statusHandler = ServerStatusHandler(pools, log)
     private val placement =
-        RequestPlacement(admission, pools.parts, slots, connections, telemetry, clock)
+        RequestPlacement(
+            admission = admission,
+            parts = pools.parts,
+            slots = slots,
+            retryBudget = retryBudget,
+            connections = connections,
+            telemetry = telemetry,
+            clock = clock
+        )
 
     /** Number of requests in progress. */
     var inProgress = 0
@@ -123,7 +127,8 @@
             scope = this,
             clock = clock,
             isAllowed = { mayFailOver(granted.call, progress) },
-            acquire = { acquireReplacement(request, granted.call, progress) }
+            acquire = { placement.acquireReplacement(request, granted.call, progress) },
+            giveBack = placement::giveBack
         )
         val attempt = attempt(request, granted, progress, relay, search)
         attempt.run().also { telemetry.recordAttempt(granted.call, server.server.id, attempt, it) }
@@ -149,19 +154,7 @@
     )
 
     private fun mayFailOver(call: AdmittedRequest, progress: RequestProgress): Boolean =
-        mayRunAgain(call, progress) && retryBudget.isAvailable(call.service)
-
-    /** Acquires a slot of another server and takes the retry from the budget. */
-    private suspend fun acquireReplacement(
-        request: CallerRequest,
-        call: AdmittedRequest,
-        progress: RequestProgress
-    ): Either<Failure, GrantedRequest> =
-        placement.acquireReplacement(request, call, progress).flatMap {
-            if (takeRetry(it.call)) return@flatMap it.right()
-            it.giveBack()
-            Failure(ResultCode.NO_BACKEND_SERVER, "The retries of the service are used up.").left()
-        }
+        mayRunAgain(call, progress) && isRetryAvailable(call)
 
     /**
      * Returns the caller's result after [result], or null if the request goes to another server.
@@ -183,7 +176,7 @@
         call: AdmittedRequest,
         progress: RequestProgress
     ): RequestResult? {
-        val isAllowed = progress.attempts < MAX_ATTEMPTS && (!end.arrived || takeRetry(call))
+        val isAllowed = progress.attempts < MAX_ATTEMPTS && (!end.arrived || isRetryAvailable(call))
         if (isAllowed) return null
         if (progress.runs > 0) return RequestResult.Failed(broken(end.reason))
         return RequestResult.Failed(
@@ -198,7 +191,7 @@
     ): RequestResult? {
         val isFailure = end.status >= FIRST_FAILURE
         progress.heldAnswer = end
-        if (isFailure && mayRunAgain(call, progress) && takeRetry(call)) return null
+        if (isFailure && mayFailOver(call, progress)) return null
         return RequestResult.Answered(end)
     }
 
@@ -207,14 +200,14 @@
         call: AdmittedRequest,
         progress: RequestProgress
     ): RequestResult? {
-        if (mayRunAgain(call, progress) && takeRetry(call)) return null
+        if (mayFailOver(call, progress)) return null
         return RequestResult.Failed(broken(end.reason))
     }
 
     private fun mayRunAgain(call: AdmittedRequest, progress: RequestProgress): Boolean =
         call.route.kind.mayRunAgain && progress.runs < call.route.maxAttempts
 
-    private fun takeRetry(call: AdmittedRequest): Boolean = retryBudget.tryAcquire(call.service)
+    private fun isRetryAvailable(call: AdmittedRequest) = retryBudget.isAvailable(call.service)
 
     /**
      * Replaces a result that claims the request did not run if an earlier attempt may have run it.
--- a/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/RequestPlacement.kt
+++ b/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/RequestPlacement.kt
@@ -7,10 +7,12 @@
 import kotlinx.coroutines.CancellationException
 import org.hyssoprack.common.Clock
 import org.hyssoprack.common.Failure
+import org.hyssoprack.common.ResultCode
 import org.hyssoprack.gateway.CallerRequest
 import org.hyssoprack.gateway.ServerConnections
 import org.hyssoprack.gateway.forwarding.slots.SlotClient
 import org.hyssoprack.serving.limits.PartGate
+import org.hyssoprack.serving.limits.RetryBudget
 import org.hyssoprack.serving.placement.SlotOutcome
 import org.hyssoprack.serving.placement.SlotResult
 import org.hyssoprack.serving.queue.QueuedRequest
@@ -20,6 +22,7 @@
     private val admission: RequestAdmission,
     private val parts: PartGate,
     private val slots: SlotClient,
+    private val retryBudget: RetryBudget,
     private val connections: ServerConnections,
     private val telemetry: RequestTelemetry,
     private val clock: Clock
@@ -44,12 +47,19 @@
                 return refused(call, progress, it)
             }
             // Newer settings hold for requests that callers send after them.
-            if (progress.isStarted) return GrantedRequest(call, slot).right()
-            val checked = admission.recheck(request, call).getOrElse {
-                slot.release(SlotResult(SlotOutcome.UNUSED))
-                return refused(call, progress, it)
+            val checked = if (progress.isStarted) {
+                call
+            } else {
+                admission.recheck(request, call).getOrElse {
+                    slot.release(SlotResult(SlotOutcome.UNUSED))
+                    return refused(call, progress, it)
+                }
+            }
+            if (checked.service ==
+                call.service
+            ) {
+                return withRetry(GrantedRequest(checked, slot), progress)
             }
-            if (checked.service == call.service) return GrantedRequest(checked, slot).right()
             slot.release(SlotResult(SlotOutcome.UNUSED))
             call = checked
         }
@@ -80,6 +90,24 @@
         }
     }
 
+    /** Gives the unused slot and the retry of a replacement back. */
+    fun giveBack(replacement: GrantedRequest) {
+        replacement.giveBack()
+        retryBudget.giveBack(replacement.call.service)
+    }
+
+    /** Takes the retry from the budget if the request was sent before. */
+    private fun withRetry(
+        granted: GrantedRequest,
+        progress: RequestProgress
+    ): Either<Failure, GrantedRequest> {
+        val isSentBefore = progress.arrivals > 0
+        if (!isSentBefore || retryBudget.tryAcquire(granted.call.service)) return granted.right()
+        granted.giveBack()
+        val detail = "The retries of the service are used up for now."
+        return refused(granted.call, progress, Failure(ResultCode.NO_BACKEND_SERVER, detail))
+    }
+
     private fun refused(
         call: AdmittedRequest,
         progress: RequestProgress,
--- a/gateway/forwarding/src/test/kotlin/org/hyssoprack/gateway/forwarding/failover/BrokenStreamTest.kt
+++ b/gateway/forwarding/src/test/kotlin/org/hyssoprack/gateway/forwarding/failover/BrokenStreamTest.kt
@@ -60,6 +60,30 @@
         assertThat(others.count { it.isComplete }).isEqualTo(others.size)
     }
 
+    @Example
+    fun `a retry that waits for a slot counts in the window in which it is sent`() = runTest {
+        val host = ForwardingFixture(this, serverCount = 2, retries = 1)
+        host.scriptAll { _, response ->
+            response.head()
+            delay(50)
+            response.lose()
+        }
+        host.send(RouteKind.RESUMABLE_STREAM)
+        delay(10)
+        host.occupyFreeSlots(forMs = 2_500)
+        delay(ForwardingFixture.WINDOW_MS)
+        assertThat(host.servers.exchanges.count { it.isRepeat }).isEqualTo(1)
+        // The window that began with the first break is over, the one of the retry is not.
+        delay(1_000)
+        host.send(RouteKind.RESUMABLE_STREAM)
+        delay(1_000)
+        assertThat(host.servers.exchanges.count { it.isRepeat }).isEqualTo(1)
+        delay(2_000)
+        host.send(RouteKind.RESUMABLE_STREAM)
+        delay(1_000)
+        assertThat(host.servers.exchanges.count { it.isRepeat }).isEqualTo(2)
+    }
+
     private suspend fun breakOff(response: ScriptedServers.Response, lostAfterMs: Long) {
         response.event(1)
         delay(lostAfterMs)
--- a/gateway/forwarding/src/test/kotlin/org/hyssoprack/gateway/forwarding/failover/StalledResponseTest.kt
+++ b/gateway/forwarding/src/test/kotlin/org/hyssoprack/gateway/forwarding/failover/StalledResponseTest.kt
@@ -115,6 +115,28 @@
             assertThat(response.isComplete).isTrue()
         }
 
+    @Example
+    fun `a search for another server that is withdrawn uses up no retry`() =
+        run(serverCount = 2, retries = 1) { host ->
+            host.scriptAll { exchange, response ->
+                response.head()
+                response.event(1)
+                if (exchange == 0) {
+                    delay(WITHDRAWN_MS)
+                    response.event(2)
+                    delay(500)
+                    response.lose()
+                } else {
+                    response.events(last = 3)
+                    response.end()
+                }
+            }
+            val (response, _) = host.send(RouteKind.RESUMABLE_STREAM)
+            delay(6_000)
+            assertThat(response.events.distinct()).isEqualTo(listOf(1, 2, 3))
+            assertThat(response.isComplete).isTrue()
+        }
+
     @Example
     fun `a plain response that a server holds back is not given up without another server`() {
         class Case(val name: String, val occupiedMs: Long, val exchanges: Int)
@@ -187,6 +209,9 @@
         const val EVENTS = 4
         const val FIRST_EVENT_MS = 100L
 
+        /** A search starts after 1,000 ms of silence; its result is taken 20 ms later at most. */
+        const val WITHDRAWN_MS = 1_010L
+
         /** Longer than the deadline of the requests. */
         const val SILENT_MS = 60_000L
     }
