Use a replacement that was found although its silent server breaks off

Found by the review: a search that had its slot, or was about to get it, was withdrawn when the silent server's connection ended. The started stream then queued anew while other requests took both slots, and was cut off. The end of the connection now waits for the search. Evidence: BrokenStreamTest, failed before.

--- a/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/AttemptResult.kt
+++ b/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/AttemptResult.kt
@@ -32,6 +32,8 @@
     /**
      * The server made no progress for so long that the request goes to another one, which has
      * granted the [replacement]; the retry has been taken from the budget.
+     *
+     * @property brokenReason why the response ended meanwhile; null if it did not.
      */
-    class Stalled(val replacement: GrantedRequest) : AttemptResult
+    class Stalled(val replacement: GrantedRequest, val brokenReason: String? = null) : AttemptResult
 }
--- a/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/ReplacementSearch.kt
+++ b/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/ReplacementSearch.kt
@@ -45,6 +45,12 @@
         return ended.granted().also { if (it == null) pausedUntilMs = clock.nowMs() + PAUSE_MS }
     }
 
+    /** Waits for the end of a search in progress. Returns null if there is none or it fails. */
+    suspend fun await(): GrantedRequest? {
+        search?.join()
+        return take()
+    }
+
     /** Ends the search and gives back what it has found. */
     fun cancel() {
         val ended = search ?: return
--- a/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/RequestTelemetry.kt
+++ b/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/RequestTelemetry.kt
@@ -40,7 +40,7 @@
             is AttemptResult.Delivered, is AttemptResult.Answered -> return
             is AttemptResult.NotRun -> "not-run" to result.reason
             is AttemptResult.Broken -> "broken" to result.reason
-            is AttemptResult.Stalled -> "stalled" to null
+            is AttemptResult.Stalled -> "stalled" to result.brokenReason
         }
         log.event(
             "attempt-ended",
--- a/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/ServerAttempt.kt
+++ b/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/ServerAttempt.kt
@@ -72,7 +72,8 @@
             val end = sendAndRelay()
             if (end is AttemptResult.Broken && end.isConnectionLost && !hasBegun) recordCrash()
             slot.release(resultOf(end).copy(isUnlimited = isUnlimited))
-            return end
+            if (end !is AttemptResult.Broken) return end
+            return search.await()?.let { AttemptResult.Stalled(it, end.reason) } ?: end
         } finally {
             search.cancel()
             // Has an effect only if the caller has disconnected.
@@ -308,7 +309,7 @@
             }
             state.recordActivity()
             silenceFromMs = clock.nowMs()
-            if (part !is ResponsePart.Body) search.cancel()
+            if (part is ResponsePart.Head || part is ResponsePart.End) search.cancel()
             return part.right()
         }
     }
--- a/gateway/forwarding/src/test/kotlin/org/hyssoprack/gateway/forwarding/failover/BrokenStreamTest.kt
+++ b/gateway/forwarding/src/test/kotlin/org/hyssoprack/gateway/forwarding/failover/BrokenStreamTest.kt
@@ -60,6 +60,23 @@
         assertThat(others.count { it.isComplete }).isEqualTo(others.size)
     }
 
+    @Example
+    fun `a replacement that was found is used although the silent server breaks off`() = runTest {
+        val host = ForwardingFixture(this, serverCount = 2)
+        host.scriptAll { exchange, response ->
+            response.head()
+            if (exchange == 0) breakOff(response, lostAfterMs = 2_650) else finishSlowly(response)
+        }
+        val (response, _) = host.send(RouteKind.RESUMABLE_STREAM)
+        delay(10)
+        host.servers.openDelayMs = 100
+        host.occupyFreeSlots(forMs = 2_600)
+        delay(1_990)
+        repeat(2) { host.send(RouteKind.RESUMABLE_STREAM) }
+        delay(10_000)
+        assertThat(response.isComplete).isTrue()
+    }
+
     @Example
     fun `a retry that waits for a slot counts in the window in which it is sent`() = runTest {
         val host = ForwardingFixture(this, serverCount = 2, retries = 1)
@@ -91,6 +108,12 @@
         response.lose()
     }
 
+    /** Takes its time with a new stream only, so that its slot stays in use. */
+    private suspend fun finishSlowly(response: ScriptedServers.Response) {
+        if (response.from == 0) response.events(last = 3, gapMs = 3_000)
+        finish(response)
+    }
+
     private fun finish(response: ScriptedServers.Response) {
         for (id in response.from + 1..3) response.event(id)
         response.end()
--- a/gateway/forwarding/src/test/kotlin/org/hyssoprack/gateway/forwarding/failover/ScriptedServers.kt
+++ b/gateway/forwarding/src/test/kotlin/org/hyssoprack/gateway/forwarding/failover/ScriptedServers.kt
@@ -1,6 +1,7 @@
 package org.hyssoprack.gateway.forwarding.failover
 
 import arrow.core.Either
+import arrow.core.left
 import arrow.core.right
 import io.netty.handler.codec.http.DefaultHttpResponse
 import io.netty.handler.codec.http.HttpHeaders
@@ -15,6 +16,7 @@
 import org.hyssoprack.common.Clock
 import org.hyssoprack.common.Failure
 import org.hyssoprack.common.NetworkAddress
+import org.hyssoprack.common.ResultCode
 import org.hyssoprack.gateway.ResponsePart
 import org.hyssoprack.gateway.ServerConnection
 import org.hyssoprack.gateway.ServerConnections
@@ -24,6 +26,14 @@
     ServerConnections {
     private val scripts = HashMap<NetworkAddress, suspend (Response) -> Unit>()
 
+    private var opened = 0
+
+    /** Time that a connection takes, in milliseconds. */
+    var openDelayMs = 0L
+
+    /** Which of the connections, counted from 0, are refused. */
+    var refusedOpens = IntRange.EMPTY
+
     /** Exchanges in the order in which the requests were sent. */
     val exchanges = ArrayList<Exchange>()
 
@@ -35,7 +45,11 @@
     override suspend fun open(
         address: NetworkAddress,
         connectTimeoutMs: Int
-    ): Either<Failure, ServerConnection> = Exchange(address).right()
+    ): Either<Failure, ServerConnection> {
+        delay(openDelayMs)
+        if (opened++ !in refusedOpens) return Exchange(address).right()
+        return Failure(ResultCode.BACKEND_REFUSED, "refused").left()
+    }
 
     override fun forget(address: NetworkAddress) = Unit
 
