Do not cut off a started stream because a few servers refuse connections

Found by the review and the trace: of the servers that crashed some seconds ago and are still registered, two refused connections after a break used up the three attempts of a request, and a started stream was cut off with sound servers free. A started stream has eight attempts; runs and retries stay bounded by the route and the budget. Evidence: BrokenStreamTest, failed before.

--- a/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/RequestForwarder.kt
+++ b/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/RequestForwarder.kt
@@ -176,7 +176,8 @@
         call: AdmittedRequest,
         progress: RequestProgress
     ): RequestResult? {
-        val isAllowed = progress.attempts < MAX_ATTEMPTS && (!end.arrived || isRetryAvailable(call))
+        val maxAttempts = if (progress.isStarted) MAX_ATTEMPTS_STARTED else MAX_ATTEMPTS
+        val isAllowed = progress.attempts < maxAttempts && (!end.arrived || isRetryAvailable(call))
         if (isAllowed) return null
         if (progress.runs > 0) return RequestResult.Failed(broken(end.reason))
         return RequestResult.Failed(
@@ -280,6 +281,10 @@
     private companion object {
         const val FIRST_FAILURE = 500
         const val MAX_ATTEMPTS = 3
+
+        // A refusal would cut off the response. Bounds the connections to servers that are gone but
+        // still registered.
+        const val MAX_ATTEMPTS_STARTED = 8
         const val REFUSED_RETRY_MS = 300L
 
         // Another host accepts the request immediately.
--- a/gateway/forwarding/src/test/kotlin/org/hyssoprack/gateway/forwarding/failover/BrokenStreamTest.kt
+++ b/gateway/forwarding/src/test/kotlin/org/hyssoprack/gateway/forwarding/failover/BrokenStreamTest.kt
@@ -77,6 +77,20 @@
         assertThat(response.isComplete).isTrue()
     }
 
+    @Example
+    fun `a started stream is not cut because several servers refuse the connection`() = runTest {
+        val host = ForwardingFixture(this, serverCount = 5)
+        host.servers.refusedOpens = 1..4
+        host.scriptAll { exchange, response ->
+            response.head()
+            if (exchange == 0) breakOff(response, lostAfterMs = 100) else finish(response)
+        }
+        val (response, _) = host.send(RouteKind.RESUMABLE_STREAM)
+        delay(8_000)
+        assertThat(response.events).isEqualTo(listOf(1, 2, 3))
+        assertThat(response.isComplete).isTrue()
+    }
+
     @Example
     fun `a retry that waits for a slot counts in the window in which it is sent`() = runTest {
         val host = ForwardingFixture(this, serverCount = 2, retries = 1)
