--- a/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/slots/SlotClient.kt
+++ b/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/slots/SlotClient.kt
@@ -101,7 +101,8 @@
         val isNew = owner != knownOwner
         if (isNew) ownerChanged(owner)
         val nowMs = clock.nowMs()
-        val hasNews = pools.leaving.size > reportedLeaving || pools.limits.hasNews ||
+        val hasNews = pools.leaving.size > reportedLeaving ||
+            pools.limits.hasNews ||
             pools.parts.registry.hasNews
         val isDue = nowMs - reportedMs >= REPORT_MS || hasNews
         if (owner != null && isDue) report(owner, isFirst = isNew)
--- a/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/slots/SlotOwner.kt
+++ b/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/slots/SlotOwner.kt
@@ -76,8 +76,8 @@
 
     /**
      * Sends the [SlotMessage.OwnerStatus] to the hosts that report: at intervals, and immediately
-     * if a rate limit or what is known of parts of prompts has changed, or the usage of an account has grown by [STATUS_GROWTH]. Drops
-     * expired leases. Called several times a second.
+     * if a rate limit or what is known of parts of prompts has changed, or the usage of an account
+     * has grown by [STATUS_GROWTH]. Drops expired leases. Called several times a second.
      */
     fun tick() {
         if (clients.isEmpty()) return
