--- a/gateway/forwarding/src/test/kotlin/org/hyssoprack/gateway/forwarding/failover/ForwardingFixture.kt
+++ b/gateway/forwarding/src/test/kotlin/org/hyssoprack/gateway/forwarding/failover/ForwardingFixture.kt
@@ -82,6 +82,9 @@
         log = NoOpEventLog
     )
 
+    /** What this host knows of parts that crash servers. */
+    val parts get() = pools.parts.registry
+
     /** Number of slots in use. */
     val usedSlots: Int get() = pools[service].servers.sumOf { it.load.running }
 
@@ -168,11 +171,15 @@
         }
     }
 
-    /** Sends a request and returns its response, which is in progress, and the job that serves it. */
-    fun send(kind: RouteKind): Pair<RecordedResponse, Job> {
+    /**
+     * Sends a request with [sharedParts] in its prompt. Returns its response, which is in progress,
+     * and the job that serves it.
+     */
+    fun send(kind: RouteKind, vararg sharedParts: String): Pair<RecordedResponse, Job> {
         val headers = DefaultHttpHeaders()
             .set(ScriptedServers.REQUEST_ID, "r${servers.exchanges.size}")
             .set(PlainWireFormat.KEY, KEY)
+            .set(PlainWireFormat.PARTS, sharedParts.joinToString(","))
         val request = CallerRequest(
             method = HttpMethod.POST,
             uri = "/${kind.name}/x",
--- a/gateway/forwarding/src/test/kotlin/org/hyssoprack/gateway/forwarding/failover/PlainWireFormat.kt
+++ b/gateway/forwarding/src/test/kotlin/org/hyssoprack/gateway/forwarding/failover/PlainWireFormat.kt
@@ -6,6 +6,7 @@
 import io.netty.handler.codec.http.HttpHeaders
 import io.netty.handler.codec.http.HttpResponse
 import org.hyssoprack.common.Failure
+import org.hyssoprack.common.PromptPartId
 import org.hyssoprack.gateway.DispatchMetadata
 import org.hyssoprack.gateway.RequestMetadata
 import org.hyssoprack.gateway.ResponseMetadata
@@ -15,13 +16,21 @@
 internal object PlainWireFormat : WireFormat {
     const val KEY = "key"
 
+    /** Shared parts of the prompt, separated by commas. */
+    const val PARTS = "parts"
+
     override fun readRequest(headers: HttpHeaders): Either<Failure, RequestMetadata> =
         RequestMetadata(
             id = headers[ScriptedServers.REQUEST_ID],
             host = "h",
-            key = headers[KEY]
+            key = headers[KEY],
+            sharedParts = partsOf(headers).map { PromptPartId(it) }
         ).right()
 
+    /** Returns the shared parts of a prompt that [headers] list. */
+    fun partsOf(headers: HttpHeaders): List<String> =
+        headers[PARTS].orEmpty().split(',').filter { it.isNotEmpty() }
+
     override fun dispatchHeaders(callers: HttpHeaders, facts: DispatchMetadata): HttpHeaders =
         DefaultHttpHeaders().set(callers).also { headers ->
             facts.lastEventId?.let { headers.set(ScriptedServers.LAST_EVENT_ID, it) }
--- a/gateway/forwarding/src/test/kotlin/org/hyssoprack/gateway/forwarding/failover/ScriptedServers.kt
+++ b/gateway/forwarding/src/test/kotlin/org/hyssoprack/gateway/forwarding/failover/ScriptedServers.kt
@@ -1,6 +1,7 @@
 package org.hyssoprack.gateway.forwarding.failover
 
 import arrow.core.Either
+import arrow.core.left
 import arrow.core.right
 import io.netty.handler.codec.http.DefaultHttpResponse
 import io.netty.handler.codec.http.HttpHeaders
@@ -15,6 +16,7 @@
 import org.hyssoprack.common.Clock
 import org.hyssoprack.common.Failure
 import org.hyssoprack.common.NetworkAddress
+import org.hyssoprack.common.ResultCode
 import org.hyssoprack.gateway.ResponsePart
 import org.hyssoprack.gateway.ServerConnection
 import org.hyssoprack.gateway.ServerConnections
@@ -24,6 +26,9 @@
     ServerConnections {
     private val scripts = HashMap<NetworkAddress, suspend (Response) -> Unit>()
 
+    /** Addresses that accept no connection. */
+    val down = HashSet<NetworkAddress>()
+
     /** Exchanges in the order in which the requests were sent. */
     val exchanges = ArrayList<Exchange>()
 
@@ -35,7 +40,10 @@
     override suspend fun open(
         address: NetworkAddress,
         connectTimeoutMs: Int
-    ): Either<Failure, ServerConnection> = Exchange(address).right()
+    ): Either<Failure, ServerConnection> =
+        if (address in down) refused().left() else Exchange(address).right()
+
+    private fun refused() = Failure(ResultCode.BACKEND_REFUSED, "connection refused")
 
     override fun forget(address: NetworkAddress) = Unit
 
@@ -59,7 +67,8 @@
             sentMs = clock.nowMs()
             exchanges += this
             from = headers[LAST_EVENT_ID]?.toInt() ?: 0
-            val response = Response(headers[REQUEST_ID], from) {
+            val shared = PlainWireFormat.partsOf(headers)
+            val response = Response(headers[REQUEST_ID], from, shared) {
                 parts += it
                 arrival?.complete(Unit)
             }
@@ -80,10 +89,16 @@
         }
     }
 
-    /** What a script sends; [from] is the last event that the caller has. */
+    /**
+     * What a script sends.
+     *
+     * @property from last event that the caller has.
+     * @property sharedParts parts of the request's prompt that others may share.
+     */
     class Response(
         private val requestId: String,
         val from: Int,
+        val sharedParts: List<String>,
         private val put: (ResponsePart) -> Unit
     ) {
         fun head(status: Int = 200) {
--- a/gateway/forwarding/src/test/kotlin/org/hyssoprack/gateway/forwarding/ratelimit/FleetSimulation.kt
+++ b/gateway/forwarding/src/test/kotlin/org/hyssoprack/gateway/forwarding/ratelimit/FleetSimulation.kt
@@ -2,33 +2,14 @@
 
 import kotlin.math.ln
 import kotlin.random.Random
-import kotlinx.coroutines.CoroutineExceptionHandler
-import kotlinx.coroutines.CoroutineScope
-import kotlinx.coroutines.ExperimentalCoroutinesApi
-import kotlinx.coroutines.SupervisorJob
-import kotlinx.coroutines.cancel
-import kotlinx.coroutines.channels.Channel
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
-import kotlinx.coroutines.test.StandardTestDispatcher
-import kotlinx.coroutines.test.TestCoroutineScheduler
 import org.hyssoprack.common.BackendServerId
 import org.hyssoprack.common.FailureDomain
-import org.hyssoprack.common.HostId
-import org.hyssoprack.common.HostMessage
-import org.hyssoprack.common.HostRef
-import org.hyssoprack.common.Incarnation
 import org.hyssoprack.common.NetworkAddress
-import org.hyssoprack.common.Region
-import org.hyssoprack.common.ServiceId
 import org.hyssoprack.gateway.ResponseMetadata
 import org.hyssoprack.gateway.forwarding.slots.Slot
 import org.hyssoprack.gateway.forwarding.slots.SlotMessage
-import org.hyssoprack.link.Link
-import org.hyssoprack.link.ReceivedMessage
-import org.hyssoprack.membership.Member
-import org.hyssoprack.membership.MemberState
-import org.hyssoprack.membership.MemberView
 import org.hyssoprack.serving.fleet.RegisteredServer
 import org.hyssoprack.serving.limits.ReportedRateLimit
 import org.hyssoprack.serving.placement.SlotOutcome
@@ -45,27 +26,15 @@
  * @param knowsLimits whether a host reads the limits that servers name.
  * @param transform changes a message in transit; null loses it.
  */
-@OptIn(ExperimentalCoroutinesApi::class)
 internal class FleetSimulation(
     seed: Int,
     private val perS: Double = 60.0,
     hostCount: Int = 9,
     serverCount: Int = 4,
-    private val newsMs: Long = 0,
+    newsMs: Long = 0,
     private val knowsLimits: (SimulatedHost) -> Boolean = { true },
-    private val transform: (SlotMessage) -> SlotMessage? = { it }
-) {
-    private val random = Random(seed)
-    private val scheduler = TestCoroutineScheduler()
-    private var fault: Throwable? = null
-    private val scope = CoroutineScope(
-        StandardTestDispatcher(scheduler) + SupervisorJob() +
-            CoroutineExceptionHandler { _, e -> fault = e }
-    )
-    private val service = ServiceId("s")
-    private val views = ArrayList<DatedView>()
-    val clock = SimulatedTime(scheduler)
-    val hosts: List<SimulatedHost>
+    transform: (SlotMessage) -> SlotMessage? = { it }
+) : SimulatedFleet(Random(seed), hostCount, newsMs, transform = transform) {
     val servers = List(serverCount) { LimitedServer(BackendServerId("b$it"), clock) }
 
     /** Number of requests that got no slot. */
@@ -77,59 +46,16 @@
         private set
 
     init {
-        val refs = List(hostCount) { HostRef(HostId("h$it"), Incarnation(1)) }
-        views += DatedView(clock.nowMs(), MemberView(refs.associate { it.host to member(it) }))
-        hosts = refs.map {
-            val delayMs = random.nextLong(newsMs + 1)
-            SimulatedHost(
-                ref = it,
-                clock = SimulatedTime(scheduler, random.nextLong(-WALL_CLOCK_MS, WALL_CLOCK_MS)),
-                link = SimulatedLink(it),
-                random = random,
-                view = { view(delayMs) }
-            )
-        }
         hosts.forEach { it.pools.updateServers(servers.map { server -> registered(server) }) }
-        hosts.forEach { host ->
-            repeatEvery(SLOTS_TICK_MS) { host.tickSlots() }
-            repeatEvery(QUEUE_TICK_MS) { host.pools.tick() }
-        }
         scope.launch { sendRequests() }
     }
 
-    /** The slot owner in the view of most hosts. */
-    fun owner(): SimulatedHost = hosts.firstOrNull { it.slots.isOwner } ?: hosts.first()
-
     /** Lets [ms] milliseconds pass. */
     fun run(ms: Long): FleetSimulation {
-        scheduler.advanceTimeBy(ms)
-        fault?.let { throw it }
+        advance(ms)
         return this
     }
 
-    fun end() = scope.cancel()
-
-    fun setState(host: SimulatedHost, state: MemberState) {
-        val members = views.last().view.members
-        val changed = members.getValue(host.ref.host).copy(state = state)
-        views += DatedView(clock.nowMs(), MemberView(members + (host.ref.host to changed)))
-    }
-
-    private fun view(delayMs: Long): MemberView {
-        val seenMs = clock.nowMs() - delayMs
-        return (views.lastOrNull { it.sinceMs <= seenMs } ?: views.first()).view
-    }
-
-    private class DatedView(val sinceMs: Long, val view: MemberView)
-
-    private fun repeatEvery(periodMs: Long, action: () -> Unit) = scope.launch {
-        delay(random.nextLong(periodMs))
-        while (true) {
-            action()
-            delay(periodMs)
-        }
-    }
-
     private suspend fun sendRequests() {
         while (true) {
             delay((-ln(1 - random.nextDouble()) / perS * MS_PER_S).toLong())
@@ -180,35 +106,6 @@
         slot.release(SlotResult(SlotOutcome.SUCCEEDED, isUnlimited = isUnlimited))
     }
 
-    private inner class SimulatedLink(private val self: HostRef) : Link {
-        override val incoming = Channel<ReceivedMessage>()
-
-        override fun send(to: HostId, message: HostMessage) {
-            val sent = transform(message as SlotMessage) ?: return
-            val target = hosts.first { it.ref.host == to }
-            val source = hosts.first { it.ref == self }
-            scope.launch {
-                delay(MESSAGE_MS)
-                if (!target.isCutOff && !source.isCutOff) target.slots.receive(self, sent)
-            }
-        }
-
-        override fun sendTo(address: NetworkAddress, message: HostMessage) = Unit
-
-        override fun setAddress(host: HostId, address: NetworkAddress) = Unit
-
-        override suspend fun close() = Unit
-    }
-
-    private fun member(ref: HostRef) = Member(
-        ref = ref,
-        linkAddress = NetworkAddress("10.0.0.1", 1),
-        callerAddress = NetworkAddress("10.0.0.1", 2),
-        domain = FailureDomain("z"),
-        region = Region("r"),
-        capacity = 100
-    )
-
     private fun registered(server: LimitedServer) = RegisteredServer(
         id = server.id,
         service = service,
@@ -219,15 +116,11 @@
 
     private companion object {
         const val MS_PER_S = 1_000.0
-        const val SLOTS_TICK_MS = 150L
-        const val QUEUE_TICK_MS = 20L
-        const val MESSAGE_MS = 1L
         const val WORK_MS = 100L
         const val SLOTS = 9
         const val TARGET_MS = 400L
         const val GIVE_UP_MS = 1_000L
         const val DEADLINE_MS = 4_000L
-        const val WALL_CLOCK_MS = 50L
 
         // A round trip to the slot owner takes less.
         const val AT_ONCE_MS = 10L
--- a/gateway/forwarding/src/test/kotlin/org/hyssoprack/gateway/forwarding/ratelimit/SimulatedHost.kt
+++ b/gateway/forwarding/src/test/kotlin/org/hyssoprack/gateway/forwarding/ratelimit/SimulatedHost.kt
@@ -15,6 +15,7 @@
 import org.hyssoprack.serving.limits.QuotaLedger
 import org.hyssoprack.serving.limits.QuotaTolerance
 import org.hyssoprack.serving.placement.ServerChooser
+import org.hyssoprack.serving.settings.Account
 
 /** One host in a simulation: its pools and its part in granting slots. */
 internal class SimulatedHost(
@@ -22,6 +23,7 @@
     private val clock: Clock,
     link: Link,
     random: Random,
+    accounts: List<Account> = emptyList(),
     view: () -> MemberView
 ) {
     private val domain = FailureDomain("z")
@@ -36,16 +38,17 @@
         )
     )
     val statusHandler = ServerStatusHandler(pools, NoOpEventLog)
+    val quotas = QuotaLedger(clock, { QuotaTolerance(windowMs = WINDOW_MS) }) { 1.0 }
     private val hosts = ServingHosts(ref, view, clock, settleMs = 0)
     val slots: SlotService = SlotService(
         self = ref,
         domain = domain,
         link = link,
         pools = pools,
-        quotas = QuotaLedger(clock, { QuotaTolerance(windowMs = WINDOW_MS) }) { 1.0 },
+        quotas = quotas,
         hosts = hosts,
         quotaWindowMs = WINDOW_MS,
-        accounts = { emptyMap() },
+        accounts = { accounts.associateBy { it.name } },
         isReady = { isReady },
         clock = clock,
         log = NoOpEventLog
