--- a/gateway/forwarding/src/test/kotlin/org/hyssoprack/gateway/forwarding/failover/BrokenStreamTest.kt
+++ b/gateway/forwarding/src/test/kotlin/org/hyssoprack/gateway/forwarding/failover/BrokenStreamTest.kt
@@ -65,7 +65,7 @@
         val host = ForwardingFixture(this, serverCount = 2)
         host.scriptAll { exchange, response ->
             response.head()
-            if (exchange == 0) breakOff(response, lostAfterMs = 2_650) else finishSlowly(response)
+            if (exchange == 0) fallSilent(response, lostAfterMs = 2_650) else finishSlowly(response)
         }
         val (response, _) = host.send(RouteKind.RESUMABLE_STREAM)
         delay(10)
@@ -122,6 +122,12 @@
         response.lose()
     }
 
+    private suspend fun fallSilent(response: ScriptedServers.Response, lostAfterMs: Long) {
+        response.event(1)
+        delay(lostAfterMs)
+        response.lose()
+    }
+
     /** Takes its time with a new stream only, so that its slot stays in use. */
     private suspend fun finishSlowly(response: ScriptedServers.Response) {
         if (response.from == 0) response.events(last = 3, gapMs = 3_000)
--- a/gateway/forwarding/src/test/kotlin/org/hyssoprack/gateway/forwarding/failover/ScriptedServers.kt
+++ b/gateway/forwarding/src/test/kotlin/org/hyssoprack/gateway/forwarding/failover/ScriptedServers.kt
@@ -34,6 +34,9 @@
     /** Which of the connections, counted from 0, are refused. */
     var refusedOpens = IntRange.EMPTY
 
+    /** Addresses that accept no connection. */
+    val down = HashSet<NetworkAddress>()
+
     /** Exchanges in the order in which the requests were sent. */
     val exchanges = ArrayList<Exchange>()
 
@@ -47,8 +50,9 @@
         connectTimeoutMs: Int
     ): Either<Failure, ServerConnection> {
         delay(openDelayMs)
-        if (opened++ !in refusedOpens) return Exchange(address).right()
-        return Failure(ResultCode.BACKEND_REFUSED, "refused").left()
+        val isRefused = opened++ in refusedOpens || address in down
+        if (!isRefused) return Exchange(address).right()
+        return Failure(ResultCode.BACKEND_REFUSED, "connection refused").left()
     }
 
     override fun forget(address: NetworkAddress) = Unit
@@ -82,7 +86,8 @@
             requestId = headers[REQUEST_ID]
             exchanges += this
             from = headers[LAST_EVENT_ID]?.toInt() ?: 0
-            val response = Response(headers[REQUEST_ID], from) {
+            val shared = PlainWireFormat.partsOf(headers)
+            val response = Response(headers[REQUEST_ID], from, shared) {
                 parts += it
                 arrival?.complete(Unit)
             }
@@ -103,10 +108,16 @@
         }
     }
 
-    /** What a script sends; [from] is the last event that the caller has. */
+    /**
+     * What a script sends.
+     *
+     * @property from last event that the caller has.
+     * @property sharedParts parts of the request's prompt that others may share.
+     */
     class Response(
         private val requestId: String,
         val from: Int,
+        val sharedParts: List<String>,
         private val put: (ResponsePart) -> Unit
     ) {
         fun head(status: Int = 200) {
