--- a/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/ServerAttempt.kt
+++ b/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/ServerAttempt.kt
@@ -241,6 +241,7 @@
     private fun recordBegun() {
         if (hasBegun) return
         hasBegun = true
+        if (promptRead) slot.recordFirstEvent(elapsedMs)
         val server = state.server
         parts.recordBegun(server.service, server.version, call.metadata.sharedParts)
     }
@@ -265,7 +266,6 @@
     private fun recordFirstBytes() {
         promptRead = true
         firstMs = clock.nowMs()
-        slot.recordFirstEvent(firstMs - startMs)
         if (progress.firstByteMs == null) progress.firstByteMs = firstMs
     }
 
