--- a/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/RequestPlacement.kt
+++ b/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/RequestPlacement.kt
@@ -34,7 +34,7 @@
         progress: RequestProgress
     ): Either<Failure, GrantedRequest> {
         var call = admitted
-        val shared = call.metadata.sharedParts
+        val shared = suspectParts(call, progress)
         while (true) {
             parts.refusalBeforeWait(call.service, shared)?.let {
                 return refused(call, progress, it)
@@ -108,6 +108,10 @@
         return refused(granted.call, progress, Failure(ResultCode.NO_BACKEND_SERVER, detail))
     }
 
+    /** An event has shown that no part of the request crashes servers. */
+    private fun suspectParts(call: AdmittedRequest, progress: RequestProgress) =
+        if (progress.lastEventMs == null) call.metadata.sharedParts else emptyList()
+
     private fun refused(
         call: AdmittedRequest,
         progress: RequestProgress,
@@ -136,7 +140,7 @@
             patienceMs = patienceMs,
             avoid = progress.triedServers,
             isStarted = progress.isStarted,
-            sharedParts = call.metadata.sharedParts
+            sharedParts = suspectParts(call, progress)
         )
     }
 
