Take the trial of a blocked part at the grant of its slot

Found by the review, by reading: the owner took the trial when the request arrived, and a full queue or a used-up quota then refused the request. With two trials in all, a part that was blocked wrongly could stay blocked while requests with it keep coming.

--- a/core/serving/src/main/kotlin/org/hyssoprack/serving/limits/PartGate.kt
+++ b/core/serving/src/main/kotlin/org/hyssoprack/serving/limits/PartGate.kt
@@ -39,8 +39,11 @@
         }
     }
 
-    /** Admits a request at the slot owner. Returns whether it is a trial of a blocked part. */
-    fun admit(service: ServiceId, parts: List<PromptPartId>): Either<Failure, Boolean> =
+    /**
+     * Admits a request to the grant of a slot, at the slot owner. Returns whether it is a trial of a
+     * blocked part.
+     */
+    fun admitToSlot(service: ServiceId, parts: List<PromptPartId>): Either<Failure, Boolean> =
         when (val verdict = verdict(service, parts)) {
             is PartVerdict.Blocked -> blocked(verdict.part).left()
 
--- a/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/slots/Lease.kt
+++ b/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/slots/Lease.kt
@@ -11,7 +11,6 @@
  *
  * @property endMs monotonic time after which the request cannot be in progress.
  * @property sharedParts parts of the prompt that other requests may share.
- * @property isTrial whether the request is a trial of a blocked part.
  * @param isRelayedHere whether this host relays the response.
  */
 internal class Lease(
@@ -21,9 +20,11 @@
     private val isRelayedHere: Boolean,
     val account: ClientAccount? = null,
     val quota: Double = 0.0,
-    val sharedParts: List<PromptPartId> = emptyList(),
-    val isTrial: Boolean = false
+    val sharedParts: List<PromptPartId> = emptyList()
 ) {
+    /** Whether the request is a trial of a blocked part. */
+    var isTrial = false
+
     /** The queued request; null unless it waits for a slot. */
     var waiting: QueuedRequest? = null
 
--- a/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/slots/SlotOwner.kt
+++ b/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/slots/SlotOwner.kt
@@ -125,7 +125,7 @@
     private fun handleRequest(from: HostRef, request: SlotMessage.Request) {
         val client = client(from)
         if (client.reportedMs == null) send(from.host, SlotMessage.ReportRequest)
-        val isTrial = pools.parts.admit(request.service, request.sharedParts).getOrElse {
+        pools.parts.refusalBeforeWait(request.service, request.sharedParts)?.let {
             return refuse(from, request.number, it)
         }
         charge(from, request)?.let { return refuse(from, request.number, it) }
@@ -136,8 +136,7 @@
             isRelayedHere = from == self,
             account = request.account,
             quota = request.quota,
-            sharedParts = request.sharedParts,
-            isTrial = isTrial
+            sharedParts = request.sharedParts
         )
         client.leases[request.number] = lease
         val queued = requestOf(request, isRelayedHere = from == self)
@@ -188,7 +187,8 @@
             },
             {
                 lease.granted(it, clock.nowMs())
-                refusalOf(lease)?.let { failure -> return takeBack(from, lease, failure) }
+                lease.isTrial = pools.parts.admitToSlot(it.server.service, lease.sharedParts)
+                    .getOrElse { failure -> return takeBack(from, lease, failure) }
                 send(
                     from.host,
                     SlotMessage.Granted(
@@ -203,11 +203,6 @@
         )
     }
 
-    private fun refusalOf(lease: Lease): Failure? {
-        val service = lease.state?.server?.service ?: lease.waiting?.service ?: return null
-        return pools.parts.refusalBeforeSend(service, lease.sharedParts, lease.isTrial)
-    }
-
     /** Refuses a request that waits or was granted a slot that its host does not know of yet. */
     private fun takeBack(from: HostRef, lease: Lease, failure: Failure) {
         cancelled(from, lease.number)
@@ -217,7 +212,11 @@
     /** Refuses the waiting requests with a part that has been blocked meanwhile. */
     private fun refuseBlocked() = clients.toList().forEach { (host, client) ->
         client.leases.values.filter { it.waiting != null && it.sharedParts.isNotEmpty() }
-            .forEach { lease -> refusalOf(lease)?.let { takeBack(host, lease, it) } }
+            .forEach { lease ->
+                val service = lease.waiting?.service ?: return@forEach
+                pools.parts.refusalBeforeWait(service, lease.sharedParts)
+                    ?.let { takeBack(host, lease, it) }
+            }
     }
 
     private fun refuse(from: HostRef, number: Long, failure: Failure) = send(
