Give the retry back when a replacement's server refuses the connection

Found by reading the diff: the retry of a search was taken at the grant and lost if no connection could be opened, so the next break of a stream found none. Evidence: StalledResponseTest, a replacement whose server refuses the connection uses up no retry, failed before.

--- a/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/RequestPlacement.kt
+++ b/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/RequestPlacement.kt
@@ -46,25 +46,25 @@
                 slot.release(SlotResult(SlotOutcome.UNUSED))
                 return refused(call, progress, it)
             }
-            // Newer settings hold for requests that callers send after them.
-            val checked = if (progress.isStarted) {
-                call
-            } else {
-                admission.recheck(request, call).getOrElse {
-                    slot.release(SlotResult(SlotOutcome.UNUSED))
-                    return refused(call, progress, it)
-                }
-            }
-            if (checked.service ==
-                call.service
-            ) {
-                return withRetry(GrantedRequest(checked, slot), progress)
+            val checked = recheck(request, call, progress).getOrElse {
+                slot.release(SlotResult(SlotOutcome.UNUSED))
+                return refused(call, progress, it)
             }
+            val isSameService = checked.service == call.service
+            if (isSameService) return withRetry(GrantedRequest(checked, slot), progress)
             slot.release(SlotResult(SlotOutcome.UNUSED))
             call = checked
         }
     }
 
+    // Newer settings hold for requests that callers send after them.
+    private fun recheck(
+        request: CallerRequest,
+        call: AdmittedRequest,
+        progress: RequestProgress
+    ): Either<Failure, AdmittedRequest> =
+        if (progress.isStarted) call.right() else admission.recheck(request, call)
+
     /**
      * Waits for a slot of another server and opens a connection to it, for a request that keeps its
      * server until then. Fails with the reason for keeping it.
@@ -81,11 +81,12 @@
             val connection = connections.open(address, CONNECT_TIMEOUT_MS).getOrElse {
                 connections.forget(address)
                 slot.release(SlotResult(SlotOutcome.UNREACHABLE))
+                retryBudget.giveBack(granted.call.service)
                 return refused(granted.call, progress, it)
             }
             return GrantedRequest(granted.call, slot, connection).right()
         } catch (e: CancellationException) {
-            slot.release(SlotResult(SlotOutcome.UNUSED))
+            giveBack(granted)
             throw e
         }
     }
--- a/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/ServerAttempt.kt
+++ b/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/ServerAttempt.kt
@@ -385,6 +385,7 @@
         // which callers wait for an event.
         const val NO_DATA_MS = 1_000L
 
+        // Far shorter than the time in which callers notice a pause.
         const val SEARCH_CHECK_MS = 20L
 
         // Longer than healthy servers take to read the largest prompts.
--- a/gateway/forwarding/src/test/kotlin/org/hyssoprack/gateway/forwarding/failover/StalledResponseTest.kt
+++ b/gateway/forwarding/src/test/kotlin/org/hyssoprack/gateway/forwarding/failover/StalledResponseTest.kt
@@ -137,6 +137,19 @@
             assertThat(response.isComplete).isTrue()
         }
 
+    @Example
+    fun `a replacement whose server refuses the connection uses up no retry`() =
+        run(serverCount = 3, retries = 1) { host ->
+            host.servers.refusedOpens = 1..1
+            host.scriptAll { exchange, response ->
+                streamWithPause(response, pauseMs = if (exchange == 0) SILENT_MS else 0)
+            }
+            val (response, _) = host.send(RouteKind.RESUMABLE_STREAM)
+            delay(8_000)
+            assertThat(response.events).isEqualTo((1..EVENTS).toList())
+            assertThat(response.isComplete).isTrue()
+        }
+
     @Example
     fun `a plain response that a server holds back is not given up without another server`() {
         class Case(val name: String, val occupiedMs: Long, val exchanges: Int)
