Name a state of the store by its era and revision

Callers got 404 for a route that had been added and acknowledged, and were sent to servers that had left, after the store had come back from an older copy.

Cause: a revision alone named a state of the store. After a restore revisions are assigned again, so a host that asks a reader for the changes since revision 72 was told "nothing new" by a reader at 60, with a fresh age, and a host that asks the store after the counter has passed 72 again gets no 410 and lacks what was written below it.

A host does not take rows of an older era than it has heard of from any host; a reader that is behind is passed over. New fields of the messages are optional; a host of an older build that is ahead of its reader is told that the history is lost.

Readers and followers alike re-read.

--- a/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/FeedFollower.kt
+++ b/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/FeedFollower.kt
@@ -8,10 +8,11 @@
 import org.hyssoprack.common.eq
 import org.hyssoprack.serving.settings.ClockReading
 import org.hyssoprack.store.RowFeed
+import org.hyssoprack.store.StorePosition
 
 /**
  * Keeps a [FeedSink] up to date with one table of the store: reads the whole table, follows its
- * changes, and reads the whole table again when the store no longer has the changes.
+ * changes, and reads the whole table again when the store no longer has the changes or was restored.
  *
  * @param observer receives everything that was read, for the hosts that read the table through this
  *   one.
@@ -28,7 +29,8 @@
     private val waitMs: Long,
     private val observer: FeedObserver = NoObserver
 ) {
-    private var revision: Long? = null
+    private var position: StorePosition? = null
+    private var hasAllChanges = false
     private var failures = 0
 
     /** Follows the table until it is cancelled. */
@@ -41,25 +43,49 @@
 
     private suspend fun step(): Failure? {
         val started = ClockReading.now(clock)
-        val known = revision
-        if (known == null) {
-            val read = feed.read().fold({ return it }, { it })
-            revision = read.revision
-            val mayConfirm = sink.replace(read.rows)
-            observer.replaced(read)
-            responseReceived(sinceStoreRecoveryMs = null)
-            confirm(mayConfirm, started.before(read.ageMs))
-        } else {
-            val read = feed.changes(known, waitMs).fold({ return it }, { it })
-            revision = read.revision
-            responseReceived(read.sinceStoreRecoveryMs)
-            val mayConfirm = read.rows.isEmpty() || sink.change(read.rows)
-            observer.changed(read)
-            confirm(mayConfirm, started.before(read.ageMs))
-        }
+        val known = position?.takeIf { hasAllChanges }
+        return if (known == null) readAll(started) else readChanges(known, started)
+    }
+
+    private suspend fun readAll(started: ClockReading): Failure? {
+        val read = feed.read().fold({ return it }, { it })
+        logRestored(read.position)
+        position = read.position
+        hasAllChanges = true
+        val mayConfirm = sink.replace(read.rows)
+        observer.replaced(read)
+        responseReceived(sinceStoreRecoveryMs = null)
+        confirm(mayConfirm, started.before(read.ageMs))
+        return null
+    }
+
+    private suspend fun readChanges(known: StorePosition, started: ClockReading): Failure? {
+        val read = feed.changes(known, waitMs).fold({ return it }, { it })
+        if (!read.position.isComparableTo(known)) return restored(read.position)
+        position = read.position
+        responseReceived(read.sinceStoreRecoveryMs)
+        val mayConfirm = read.rows.isEmpty() || sink.change(read.rows)
+        observer.changed(read)
+        confirm(mayConfirm, started.before(read.ageMs))
         return null
     }
 
+    private fun restored(at: StorePosition) =
+        Failure(ResultCode.HISTORY_LOST, "The store was restored, its era is ${at.era}.")
+
+    private fun logRestored(now: StorePosition) {
+        val before = position ?: return
+        if (now.isComparableTo(before)) return
+        log.event(
+            "store-restored",
+            "table" eq name,
+            "era" eq now.era,
+            "before" eq before.era,
+            "revision" eq now.revision,
+            "revisionBefore" eq before.revision
+        )
+    }
+
     private fun confirm(mayConfirm: Boolean, moment: ClockReading) {
         observer.confirmed(moment)
         if (mayConfirm) sink.confirm(moment)
@@ -80,8 +106,13 @@
 
     private suspend fun handle(failure: Failure) {
         if (failure.code == ResultCode.HISTORY_LOST) {
-            log.event("store-history-lost", "table" eq name, "revision" eq revision)
-            revision = null
+            log.event(
+                "store-history-lost",
+                "table" eq name,
+                "revision" eq position?.revision,
+                "era" eq position?.era
+            )
+            hasAllChanges = false
             return
         }
         failures++
--- a/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/feeds/SharedFeeds.kt
+++ b/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/feeds/SharedFeeds.kt
@@ -9,6 +9,7 @@
 import org.hyssoprack.common.HostId
 import org.hyssoprack.common.HostRef
 import org.hyssoprack.link.Link
+import org.hyssoprack.store.StorePosition
 
 /**
  * Replicas of the store's tables on this host. Replies to requests of other hosts from them, and
@@ -23,6 +24,7 @@
     private val heldRequests = HashMap<String, ArrayList<HeldRequest>>()
     private val pending = HashMap<Long, CompletableDeferred<FeedMessage>>()
     private var lastNumber = 0L
+    internal val knownEra = KnownEra()
 
     private class HeldRequest(val from: HostId, val request: FeedMessage.Request)
 
@@ -33,34 +35,47 @@
     /** Handles a message from another host. */
     fun receive(from: HostRef, message: FeedMessage) {
         when (message) {
-            is FeedMessage.Request -> answer(from.host, message)
-            is FeedMessage.Rows -> pending[message.number]?.complete(message)
-            is FeedMessage.Unavailable -> pending[message.number]?.complete(message)
+            is FeedMessage.Request -> {
+                knownEra.heard(message.era)
+                answer(from.host, message)
+            }
+
+            is FeedMessage.Rows -> {
+                knownEra.heard(message.era)
+                pending[message.number]?.complete(message)
+            }
+
+            is FeedMessage.Unavailable -> {
+                knownEra.heard(message.era)
+                pending[message.number]?.complete(message)
+            }
         }
     }
 
     /** Replies to the requests that wait for a change of [table]. */
     internal fun changed(table: String) {
         val held = heldRequests[table] ?: return
-        val due = held.filter { replica(table).hasNewer(it.request.revision) }
+        val due = held.filter { replica(table).hasNewer(it.request.position) }
         held.removeAll(due.toSet())
         due.forEach { link.send(it.from, replica(table).answer(it.request)) }
     }
 
     /**
-     * Requests the changes since [revision] from [host]. Returns null if it does not reply in time.
+     * Requests the changes since [position] from [host]. Returns null if it does not reply in time.
      */
     internal suspend fun request(
         host: HostId,
         table: String,
-        revision: Long?,
+        position: StorePosition?,
         waitMs: Long
     ): FeedMessage? {
         val number = ++lastNumber
         val answer = CompletableDeferred<FeedMessage>()
         pending[number] = answer
         try {
-            link.send(host, FeedMessage.Request(number, table, revision, waitMs))
+            val request =
+                FeedMessage.Request(number, table, position?.revision, waitMs, position?.era)
+            link.send(host, request)
             return withTimeoutOrNull(waitMs + ROUND_TRIP_MS) { answer.await() }
         } finally {
             pending.remove(number)
@@ -69,7 +84,7 @@
 
     private fun answer(from: HostId, request: FeedMessage.Request) {
         val replica = replica(request.table)
-        val isDue = replica.currentRevision == null || replica.hasNewer(request.revision)
+        val isDue = replica.position == null || replica.hasNewer(request.position)
         if (isDue) return link.send(from, replica.answer(request))
         val entry = HeldRequest(from, request)
         heldRequests.getOrPut(request.table) { ArrayList() } += entry
--- a/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/feeds/SharedRowFeed.kt
+++ b/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/feeds/SharedRowFeed.kt
@@ -13,10 +13,11 @@
 import org.hyssoprack.store.RowChanges
 import org.hyssoprack.store.RowFeed
 import org.hyssoprack.store.RowSnapshot
+import org.hyssoprack.store.StorePosition
 
 /**
  * Reads a table of the store through a reader, which is a host that reads it for others, or from
- * the store itself if this host is a reader or no reader has fresh data.
+ * the store itself if this host is a reader or no reader has fresh data of the store's present era.
  *
  * @param direct the store's own feed.
  * @param readers the readers in order of preference; empty if this host reads the store itself.
@@ -32,42 +33,50 @@
     private val mostAgeMs: Long
 ) : RowFeed {
     private val avoidUntilMs = HashMap<HostId, Long>()
+    private val knownEra = feeds.knownEra
 
     override suspend fun read(): Either<Failure, RowSnapshot> {
         val reply =
-            requestFromReader(revision = null, waitMs = 0) as? FeedMessage.Rows
-                ?: return direct.read()
-        return RowSnapshot(reply.feedRows(), reply.revision, reply.ageMs).right()
+            requestFromReader(position = null, waitMs = 0) as? FeedMessage.Rows
+                ?: return direct.read().onRight { knownEra.readFromStore(it.position.era) }
+        return RowSnapshot(reply.feedRows(), reply.position, reply.ageMs).right()
     }
 
-    override suspend fun changes(revision: Long, waitMs: Long): Either<Failure, RowChanges> =
-        when (val reply = requestFromReader(revision, waitMs)) {
-            is FeedMessage.Rows ->
-                RowChanges(
-                    reply.feedRows(),
-                    reply.revision,
-                    reply.ageMs,
-                    reply.sinceStoreRecoveryMs
-                ).right()
+    override suspend fun changes(
+        position: StorePosition,
+        waitMs: Long
+    ): Either<Failure, RowChanges> = when (val reply = requestFromReader(position, waitMs)) {
+        is FeedMessage.Rows ->
+            RowChanges(
+                reply.feedRows(),
+                reply.position,
+                reply.ageMs,
+                reply.sinceStoreRecoveryMs
+            ).right()
 
-            is FeedMessage.Unavailable ->
-                Failure(
-                    ResultCode.HISTORY_LOST,
-                    "The reader no longer has the changes since revision $revision."
-                ).left()
+        is FeedMessage.Unavailable ->
+            Failure(
+                ResultCode.HISTORY_LOST,
+                "The reader does not have the changes since revision ${position.revision}."
+            ).left()
 
-            else -> direct.changes(revision, waitMs)
-        }
+        else -> direct.changes(position, waitMs)
+            .onRight { knownEra.readFromStore(it.position.era) }
+    }
 
     /** Returns the reader's reply, or null if the store is to be read instead. */
-    private suspend fun requestFromReader(revision: Long?, waitMs: Long): FeedMessage? {
+    private suspend fun requestFromReader(position: StorePosition?, waitMs: Long): FeedMessage? {
         val nowMs = clock.nowMs()
         val reader = readers().firstOrNull { nowMs >= (avoidUntilMs[it] ?: Long.MIN_VALUE) }
             ?: return null
-        val answer = feeds.request(reader, table, revision, waitMs)
+        val answer = feeds.request(reader, table, position, waitMs)
         val isUsable = when (answer) {
-            is FeedMessage.Rows -> answer.ageMs <= mostAgeMs
-            is FeedMessage.Unavailable -> revision != null
+            is FeedMessage.Rows ->
+                answer.ageMs <= mostAgeMs && !knownEra.isOutdated(answer.era)
+
+            is FeedMessage.Unavailable ->
+                position != null && !knownEra.isOutdated(answer.era)
+
             else -> false
         }
         if (isUsable) return answer
@@ -75,7 +84,8 @@
             "feed-reader-passed-over",
             "table" eq table,
             "reader" eq reader,
-            "ageMs" eq (answer as? FeedMessage.Rows)?.ageMs
+            "ageMs" eq (answer as? FeedMessage.Rows)?.ageMs,
+            "era" eq (answer as? FeedMessage.Rows)?.era
         )
         avoidUntilMs[reader] = clock.nowMs() + AVOID_MS
         return null
--- a/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/feeds/TableReplica.kt
+++ b/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/feeds/TableReplica.kt
@@ -3,6 +3,7 @@
 import org.hyssoprack.common.Clock
 import org.hyssoprack.serving.settings.ClockReading
 import org.hyssoprack.store.FeedRow
+import org.hyssoprack.store.StorePosition
 
 /**
  * A host's replica of a table of the store with its latest changes, from which it replies to other
@@ -12,30 +13,30 @@
 internal class TableReplica(private val clock: Clock) {
     private val rows = LinkedHashMap<String, String?>()
     private val changes = ArrayDeque<Change>()
-    private var revision: Long? = null
     private var oldestRevision = 0L
     private var confirmed: ClockReading? = null
     private var storeRecoveredMs: Long? = null
 
     private class Change(val revision: Long, val ms: Long, val rows: List<FeedRow>)
 
-    /** Revision of this replica; null before the table was read. */
-    val currentRevision: Long? get() = revision
+    /** Position of this replica; null before the table was read. */
+    var position: StorePosition? = null
+        private set
 
-    /** Replaces all rows with [all], the whole table at [revision]. */
-    fun replaceAll(all: List<FeedRow>, revision: Long) {
+    /** Replaces all rows with [all], the whole table at [position]. */
+    fun replaceAll(all: List<FeedRow>, position: StorePosition) {
         rows.clear()
         all.forEach { rows[it.key] = it.value }
         changes.clear()
-        oldestRevision = revision
-        this.revision = revision
+        oldestRevision = position.revision
+        this.position = position
     }
 
-    /** Applies [changed] rows up to [revision]. */
-    fun applyChanges(changed: List<FeedRow>, revision: Long) {
+    /** Applies [changed] rows up to [position], which is of the same era. */
+    fun applyChanges(changed: List<FeedRow>, position: StorePosition) {
         changed.forEach { if (it.value == null) rows.remove(it.key) else rows[it.key] = it.value }
-        if (changed.isNotEmpty()) changes += Change(revision, clock.nowMs(), changed)
-        this.revision = revision
+        if (changed.isNotEmpty()) changes += Change(position.revision, clock.nowMs(), changed)
+        this.position = position
         trimChanges()
     }
 
@@ -50,35 +51,44 @@
     }
 
     /**
-     * Returns whether there are changes since [since], or the changes since that revision are not
+     * Returns whether there are changes since [since], or the changes since that position are not
      * retained.
      */
-    fun hasNewer(since: Long?): Boolean =
-        since == null || since < oldestRevision || changes.any { it.revision > since }
+    fun hasNewer(since: StorePosition?): Boolean =
+        since == null || !covers(since) || changes.any { it.revision > since.revision }
 
     /** Returns the current reply to [request]. */
     fun answer(request: FeedMessage.Request): FeedMessage {
-        val current = revision
+        val current = position
         val age = confirmed?.ageMs(clock)
-        val since = request.revision
-        if (current == null || age == null || (since != null && since < oldestRevision)) {
-            return FeedMessage.Unavailable(request.number)
+        val since = request.position
+        if (current == null || age == null || (since != null && !covers(since))) {
+            return FeedMessage.Unavailable(request.number, current?.era)
         }
         val reply = if (since == null) {
             rows.map { (key, value) -> SharedRow(key, value) }
         } else {
-            changes.filter { it.revision > since }
+            changes.filter { it.revision > since.revision }
                 .flatMap { change -> change.rows.map { SharedRow(it.key, it.value) } }
         }
         return FeedMessage.Rows(
             number = request.number,
-            revision = maxOf(current, since ?: current),
+            revision = maxOf(current.revision, since?.revision ?: current.revision),
             ageMs = age,
             rows = reply,
-            sinceStoreRecoveryMs = storeRecoveredMs?.let { clock.nowMs() - it }
+            sinceStoreRecoveryMs = storeRecoveredMs?.let { clock.nowMs() - it },
+            era = current.era
         )
     }
 
+    private fun covers(since: StorePosition): Boolean {
+        val current = position ?: return false
+        if (since.revision < oldestRevision) return false
+        if (since.isComparableTo(current)) return true
+        // Hosts of older builds name no era. A revision that is not known here is of an older one.
+        return since.era == null && since.revision <= current.revision
+    }
+
     private fun trimChanges() {
         while (changes.size > MAX_CHANGES) {
             val removed = changes.removeFirst()
--- a/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/feeds/TableReplicaUpdater.kt
+++ b/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/feeds/TableReplicaUpdater.kt
@@ -11,10 +11,10 @@
     private val replica = feeds.replica(table)
 
     override fun replaced(read: RowSnapshot) {
-        replica.replaceAll(read.rows, read.revision)
+        replica.replaceAll(read.rows, read.position)
     }
 
-    override fun changed(read: RowChanges) = replica.applyChanges(read.rows, read.revision)
+    override fun changed(read: RowChanges) = replica.applyChanges(read.rows, read.position)
 
     override fun confirmed(moment: ClockReading) {
         replica.confirm(moment)
--- a/gateway/forwarding/src/test/kotlin/org/hyssoprack/gateway/forwarding/FeedFollowerTest.kt
+++ b/gateway/forwarding/src/test/kotlin/org/hyssoprack/gateway/forwarding/FeedFollowerTest.kt
@@ -18,11 +18,13 @@
 import org.hyssoprack.store.RowChanges
 import org.hyssoprack.store.RowFeed
 import org.hyssoprack.store.RowSnapshot
+import org.hyssoprack.store.StoreEra
+import org.hyssoprack.store.StorePosition
 
 class FeedFollowerTest {
     private val row = FeedRow("a", "1")
-    private val snapshot = RowSnapshot(listOf(row), revision = 5).right()
-    private val nothing = RowChanges(emptyList(), revision = 5).right()
+    private val snapshot = RowSnapshot(listOf(row), StorePosition(5)).right()
+    private val nothing = RowChanges(emptyList(), StorePosition(5)).right()
     private val outage = Failure(ResultCode.STORE_UNAVAILABLE, "no reply").left()
     private val historyLost = Failure(ResultCode.HISTORY_LOST, "410").left()
 
@@ -38,7 +40,7 @@
             Case("read, then empty answers", listOf(snapshot, nothing), listOf("all", "ok", "ok")),
             Case(
                 "a change",
-                listOf(snapshot, RowChanges(listOf(row), 6).right()),
+                listOf(snapshot, RowChanges(listOf(row), StorePosition(6)).right()),
                 listOf("all", "ok", "change", "ok")
             ),
             Case("outage at first", listOf(outage, snapshot), listOf("all", "returned", "ok")),
@@ -47,6 +49,15 @@
                 listOf(snapshot, outage, outage, nothing),
                 listOf("all", "ok", "returned", "ok")
             ),
+            Case(
+                "restored store: the whole table is read again",
+                listOf(
+                    RowSnapshot(listOf(row), StorePosition(5, StoreEra(1))).right(),
+                    RowChanges(listOf(row), StorePosition(9, StoreEra(2))).right(),
+                    RowSnapshot(listOf(row), StorePosition(9, StoreEra(2))).right()
+                ),
+                listOf("all", "ok", "all", "ok")
+            ),
             Case(
                 "lost history: the whole table is read again",
                 listOf(snapshot, historyLost, snapshot),
@@ -78,7 +89,7 @@
 
         override suspend fun read() = next<RowSnapshot>()
 
-        override suspend fun changes(revision: Long, waitMs: Long) = next<RowChanges>()
+        override suspend fun changes(position: StorePosition, waitMs: Long) = next<RowChanges>()
 
         @Suppress("UNCHECKED_CAST")
         private suspend fun <T> next(): Either<Failure, T> {
--- a/gateway/forwarding/src/test/kotlin/org/hyssoprack/gateway/forwarding/feeds/SharedRowFeedTest.kt
+++ b/gateway/forwarding/src/test/kotlin/org/hyssoprack/gateway/forwarding/feeds/SharedRowFeedTest.kt
@@ -6,9 +6,11 @@
 import assertk.assertions.isBetween
 import assertk.assertions.isEqualTo
 import kotlinx.coroutines.CoroutineScope
+import kotlinx.coroutines.async
 import kotlinx.coroutines.channels.Channel
 import kotlinx.coroutines.channels.ReceiveChannel
 import kotlinx.coroutines.runBlocking
+import kotlinx.coroutines.yield
 import net.jqwik.api.Example
 import org.hyssoprack.common.BundleVersion
 import org.hyssoprack.common.Failure
@@ -21,6 +23,7 @@
 import org.hyssoprack.common.NetworkAddress
 import org.hyssoprack.common.NoOpEventLog
 import org.hyssoprack.common.Region
+import org.hyssoprack.common.ResultCode
 import org.hyssoprack.link.Link
 import org.hyssoprack.link.ReceivedMessage
 import org.hyssoprack.membership.Member
@@ -30,6 +33,8 @@
 import org.hyssoprack.store.RowChanges
 import org.hyssoprack.store.RowFeed
 import org.hyssoprack.store.RowSnapshot
+import org.hyssoprack.store.StoreEra
+import org.hyssoprack.store.StorePosition
 
 class SharedRowFeedTest {
     private val clock = ManualClock(100_000)
@@ -40,12 +45,15 @@
 
         override suspend fun read(): Either<Failure, RowSnapshot> {
             calls++
-            return RowSnapshot(listOf(FeedRow("store", "1")), revision = 50).right()
+            return RowSnapshot(listOf(FeedRow("store", "1")), StorePosition(50)).right()
         }
 
-        override suspend fun changes(revision: Long, waitMs: Long): Either<Failure, RowChanges> {
+        override suspend fun changes(
+            position: StorePosition,
+            waitMs: Long
+        ): Either<Failure, RowChanges> {
             calls++
-            return RowChanges(emptyList(), revision).right()
+            return RowChanges(emptyList(), position).right()
         }
     }
 
@@ -88,8 +96,17 @@
             readerLink.other = requester
         }
 
-        fun readAll(rows: List<FeedRow> = listOf(FeedRow("k", "1"))) {
-            observer.replaced(RowSnapshot(rows, revision = 10))
+        /** Tells the requester of [era], as a message of a third host does. */
+        fun heardOf(era: StoreEra?) = requester.receive(
+            ref("third"),
+            FeedMessage.Unavailable(number = -1, era = era)
+        )
+
+        fun readAll(
+            rows: List<FeedRow> = listOf(FeedRow("k", "1")),
+            position: StorePosition = StorePosition(10)
+        ) {
+            observer.replaced(RowSnapshot(rows, position))
             observer.confirmed(ClockReading.now(clock))
         }
     }
@@ -123,8 +140,8 @@
         runBlocking {
             val pair = Pair(this)
             pair.readAll()
-            pair.observer.changed(RowChanges(listOf(FeedRow("k", "2")), revision = 12))
-            pair.observer.changed(RowChanges(listOf(FeedRow("l", null)), revision = 15))
+            pair.observer.changed(RowChanges(listOf(FeedRow("k", "2")), StorePosition(12)))
+            pair.observer.changed(RowChanges(listOf(FeedRow("l", null)), StorePosition(15)))
             pair.observer.confirmed(ClockReading.now(clock))
             class Case(val since: Long, val keys: List<String>?, val revision: Long)
             val cases = listOf(
@@ -135,14 +152,79 @@
                 Case(since = 4, keys = null, revision = 0)
             )
             for (case in cases) {
-                val reply = pair.feed.changes(case.since, waitMs = 0).getOrNull()
+                val reply = pair.feed.changes(StorePosition(case.since), waitMs = 0).getOrNull()
                 assertThat(reply?.rows?.map { it.key }, "${case.since}").isEqualTo(case.keys)
-                assertThat(reply?.revision ?: 0, "${case.since}").isEqualTo(case.revision)
+                assertThat(reply?.position?.revision ?: 0, "${case.since}").isEqualTo(case.revision)
             }
             assertThat(pair.store.calls).isEqualTo(0)
         }
     }
 
+    @Example
+    fun `a host does not take a restored store for an unchanged one`() {
+        class Case(
+            val name: String,
+            val reader: StoreEra?,
+            val since: StorePosition,
+            val hasLost: Boolean,
+            val storeCalls: Int = 0
+        )
+        val cases = listOf(
+            Case("same era", ERA_2, StorePosition(10, ERA_2), hasLost = false),
+            Case("reader ahead", ERA_2, StorePosition(10, ERA_1), hasLost = true),
+            Case("reader ahead, lower revision", ERA_2, StorePosition(72, ERA_1), hasLost = true),
+            Case("reader behind", ERA_1, StorePosition(10, ERA_2), false, storeCalls = 1),
+            Case("reader of a build before", null, StorePosition(10, ERA_2), false, storeCalls = 1),
+            Case("host of a build before", ERA_2, StorePosition(10), hasLost = false),
+            Case("host of a build before, ahead", ERA_2, StorePosition(72), hasLost = true),
+            Case("store without eras", null, StorePosition(72), hasLost = false)
+        )
+        for (case in cases) {
+            runBlocking {
+                val pair = Pair(this)
+                pair.readAll(position = StorePosition(10, case.reader))
+                pair.heardOf(case.since.era)
+                val result = pair.feed.changes(case.since, waitMs = 0)
+                val isLost = result.leftOrNull()?.code == ResultCode.HISTORY_LOST
+                assertThat(isLost, case.name).isEqualTo(case.hasLost)
+                assertThat(pair.store.calls, case.name).isEqualTo(case.storeCalls)
+            }
+        }
+    }
+
+    @Example
+    fun `rows of an older era than a host has heard of are not taken from a reader`() {
+        class Case(val name: String, val heard: StoreEra?, val reader: StoreEra?, val from: String)
+        val cases = listOf(
+            Case("reader up to date", ERA_2, ERA_2, from = "k"),
+            Case("reader newer", ERA_1, ERA_2, from = "k"),
+            Case("reader older", ERA_2, ERA_1, from = "store"),
+            Case("reader of a build before", ERA_2, null, from = "store"),
+            Case("store without eras", null, null, from = "k")
+        )
+        for (case in cases) {
+            runBlocking {
+                val pair = Pair(this)
+                pair.readAll(position = StorePosition(10, case.reader))
+                pair.heardOf(case.heard)
+                val read = pair.feed.read().getOrNull()!!
+                assertThat(read.rows.single().key, case.name).isEqualTo(case.from)
+            }
+        }
+    }
+
+    @Example
+    fun `requests held at a reader are answered when it notices that the store was restored`() {
+        runBlocking {
+            val pair = Pair(this)
+            pair.readAll(position = StorePosition(72, ERA_1))
+            val held = async { pair.feed.changes(StorePosition(72, ERA_1), waitMs = 5_000) }
+            yield()
+            pair.readAll(position = StorePosition(60, ERA_2))
+            assertThat(held.await().leftOrNull()?.code).isEqualTo(ResultCode.HISTORY_LOST)
+        }
+    }
+
     @Example
     fun `store calls hardly grow with the fleet, and each reader serves a bounded number of hosts`() {
         for (hosts in listOf(9, 95, 300)) {
@@ -173,5 +255,7 @@
 
     private companion object {
         const val TABLE = "t"
+        val ERA_1 = StoreEra(1)
+        val ERA_2 = StoreEra(2)
     }
 }
--- a/store/api/src/main/kotlin/org/hyssoprack/store/RowChanges.kt
+++ b/store/api/src/main/kotlin/org/hyssoprack/store/RowChanges.kt
@@ -3,7 +3,7 @@
 /**
  * Changed rows, in the order of their changes.
  *
- * @property revision revision to request further changes from.
+ * @property position position to request further changes from.
  * @property ageMs age of the rows at the time of the call: time since the store last confirmed
  *   that it had nothing newer, in milliseconds.
  * @property sinceStoreRecoveryMs time since the store became reachable again for the host that
@@ -11,7 +11,7 @@
  */
 data class RowChanges(
     val rows: List<FeedRow>,
-    val revision: Long,
+    val position: StorePosition,
     val ageMs: Long = 0,
     val sinceStoreRecoveryMs: Long? = null
 )
--- a/store/api/src/main/kotlin/org/hyssoprack/store/RowFeed.kt
+++ b/store/api/src/main/kotlin/org/hyssoprack/store/RowFeed.kt
@@ -9,8 +9,9 @@
     suspend fun read(): Either<Failure, RowSnapshot>
 
     /**
-     * Returns the changes since [revision] as soon as there are any, after [waitMs] at the latest.
-     * Fails with HISTORY_LOST if the store no longer has them; the table must then be read again.
+     * Returns the changes since [position] as soon as there are any, after [waitMs] at the latest.
+     * Fails with HISTORY_LOST if the store no longer has them; the table must then be read again,
+     * as it must if the returned position is of another era.
      */
-    suspend fun changes(revision: Long, waitMs: Long): Either<Failure, RowChanges>
+    suspend fun changes(position: StorePosition, waitMs: Long): Either<Failure, RowChanges>
 }
--- a/store/api/src/main/kotlin/org/hyssoprack/store/RowSnapshot.kt
+++ b/store/api/src/main/kotlin/org/hyssoprack/store/RowSnapshot.kt
@@ -1,9 +1,9 @@
 package org.hyssoprack.store
 
 /**
- * The rows of a table at [revision].
+ * The rows of a table at [position].
  *
  * @property ageMs age of the rows at the time of the call: time since the store last confirmed that
  *   it had nothing newer, in milliseconds.
  */
-data class RowSnapshot(val rows: List<FeedRow>, val revision: Long, val ageMs: Long = 0)
+data class RowSnapshot(val rows: List<FeedRow>, val position: StorePosition, val ageMs: Long = 0)
