Begin the grace period of lapsed servers before the whole table is read

A host that read the whole table of servers after an outage dropped the entries that had lapsed at once, although they have two seconds to come back. FeedFollower applied the rows first and told the registry afterwards that the store was back. A lost history in an outage and a restored store counted as no outage at all, and a host that read through a reader did not learn of the reader's outage before it applied the rows.

--- a/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/FeedFollower.kt
+++ b/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/FeedFollower.kt
@@ -49,12 +49,13 @@
 
     private suspend fun readAll(started: ClockReading): Failure? {
         val read = feed.read().fold({ return it }, { it })
-        logRestored(read.position)
+        val isRestored = position?.isComparableTo(read.position) == false
+        if (isRestored) logRestored(read.position)
         position = read.position
         hasAllChanges = true
+        responseReceived(if (isRestored) 0 else read.sinceStoreRecoveryMs)
         val mayConfirm = sink.replace(read.rows)
         observer.replaced(read)
-        responseReceived(sinceStoreRecoveryMs = null)
         confirm(mayConfirm, started.before(read.ageMs))
         return null
     }
@@ -73,18 +74,14 @@
     private fun restored(at: StorePosition) =
         Failure(ResultCode.HISTORY_LOST, "The store was restored, its era is ${at.era}.")
 
-    private fun logRestored(now: StorePosition) {
-        val before = position ?: return
-        if (now.isComparableTo(before)) return
-        log.event(
-            "store-restored",
-            "table" eq name,
-            "era" eq now.era,
-            "before" eq before.era,
-            "revision" eq now.revision,
-            "revisionBefore" eq before.revision
-        )
-    }
+    private fun logRestored(now: StorePosition) = log.event(
+        "store-restored",
+        "table" eq name,
+        "era" eq now.era,
+        "before" eq position?.era,
+        "revision" eq now.revision,
+        "revisionBefore" eq position?.revision
+    )
 
     private fun confirm(mayConfirm: Boolean, moment: ClockReading) {
         observer.confirmed(moment)
--- a/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/feeds/SharedRowFeed.kt
+++ b/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/feeds/SharedRowFeed.kt
@@ -39,7 +39,12 @@
         val reply =
             requestFromReader(position = null, waitMs = 0) as? FeedMessage.Rows
                 ?: return direct.read().onRight { knownEra.readFromStore(it.position.era) }
-        return RowSnapshot(reply.feedRows(), reply.position, reply.ageMs).right()
+        return RowSnapshot(
+            reply.feedRows(),
+            reply.position,
+            reply.ageMs,
+            reply.sinceStoreRecoveryMs
+        ).right()
     }
 
     override suspend fun changes(
--- a/store/api/src/main/kotlin/org/hyssoprack/store/RowSnapshot.kt
+++ b/store/api/src/main/kotlin/org/hyssoprack/store/RowSnapshot.kt
@@ -5,5 +5,12 @@
  *
  * @property ageMs age of the rows at the time of the call: time since the store last confirmed that
  *   it had nothing newer, in milliseconds.
+ * @property sinceStoreRecoveryMs time since the store became reachable again for the host that
+ *   read it, in milliseconds; null if there was no outage.
  */
-data class RowSnapshot(val rows: List<FeedRow>, val position: StorePosition, val ageMs: Long = 0)
+data class RowSnapshot(
+    val rows: List<FeedRow>,
+    val position: StorePosition,
+    val ageMs: Long = 0,
+    val sinceStoreRecoveryMs: Long? = null
+)
