Log settings that are read and are not newer than those in force

After a restore nothing told whether the store lists an older version, the one in force, or one that was written again.

--- a/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/SettingsSink.kt
+++ b/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/SettingsSink.kt
@@ -42,7 +42,10 @@
 
     private fun accepted(settings: ServingSettings): Boolean {
         val previous = active.current?.version
-        if (!active.accept(settings)) return true
+        if (!active.accept(settings)) {
+            log.event("settings-not-newer", "version" eq settings.version, "active" eq previous)
+            return true
+        }
         log.event(
             "settings-in-force",
             "version" eq settings.version,
