Keep what is known of servers against the older copy of a restored store

A restored store lists servers as they were some seconds ago: one that leaves is ready again, one that is gone is back and its address may be another's, one that has restarted has its old instance. ServerRegistry took each row as it was.

What this host knows is newer, so it now holds until the server writes again: a leaving instance stays leaving, a newer instance stays and must be registered again within the grace period, and an instance that was removed is used again only if its entry outlasts four heartbeats, after which the store has removed the entry of a silent server.

The cases of ServerRegistryTest need the new method, so they were not run on the old code.

--- a/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/FeedFollower.kt
+++ b/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/FeedFollower.kt
@@ -50,7 +50,10 @@
     private suspend fun readAll(started: ClockReading): Failure? {
         val read = feed.read().fold({ return it }, { it })
         val isRestored = position?.isComparableTo(read.position) == false
-        if (isRestored) logRestored(read.position)
+        if (isRestored) {
+            logRestored(read.position)
+            sink.storeRestored()
+        }
         position = read.position
         hasAllChanges = true
         responseReceived(if (isRestored) 0 else read.sinceStoreRecoveryMs)
--- a/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/FeedSink.kt
+++ b/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/FeedSink.kt
@@ -20,6 +20,12 @@
     /** Records that the rows received so far were up to date at [readStarted]. */
     fun confirm(readStarted: ClockReading)
 
+    /**
+     * Called before the rows of a store that was restored from an older copy replace those known:
+     * they may be older.
+     */
+    fun storeRestored()
+
     /** Called when the store has recovered from an outage, [agoMs] milliseconds ago. */
     fun storeRecovered(agoMs: Long)
 }
--- a/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/ServerSink.kt
+++ b/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/ServerSink.kt
@@ -46,11 +46,13 @@
 
     override fun confirm(readStarted: ClockReading) = Unit
 
+    override fun storeRestored() = registry.storeRestored()
+
     override fun storeRecovered(agoMs: Long) = registry.storeRecovered(agoMs)
 
-    /** Drops entries that lapsed during a store outage and were not registered again. */
-    fun dropLapsed() {
-        if (registry.dropLapsed()) onChanged(registry.all)
+    /** Applies the removals and additions that had to wait for a time and are due. */
+    fun applyDue() {
+        if (registry.applyDue()) onChanged(registry.all)
     }
 
     private fun serverOf(row: FeedRow): RegisteredServer? {
--- a/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/SettingsSink.kt
+++ b/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/SettingsSink.kt
@@ -33,6 +33,8 @@
         active.confirm(readStarted)
     }
 
+    override fun storeRestored() = Unit
+
     override fun storeRecovered(agoMs: Long) = Unit
 
     private fun rejected(failure: Failure): Boolean {
--- a/gateway/forwarding/src/test/kotlin/org/hyssoprack/gateway/forwarding/FeedFollowerTest.kt
+++ b/gateway/forwarding/src/test/kotlin/org/hyssoprack/gateway/forwarding/FeedFollowerTest.kt
@@ -56,7 +56,7 @@
                     RowChanges(listOf(row), StorePosition(9, StoreEra(2))).right(),
                     RowSnapshot(listOf(row), StorePosition(9, StoreEra(2))).right()
                 ),
-                listOf("all", "ok", "returned", "all", "ok")
+                listOf("all", "ok", "restored", "returned", "all", "ok")
             ),
             Case(
                 "history lost in an outage: the grace period begins before the whole table is read",
@@ -65,7 +65,9 @@
             ),
             Case(
                 "a reader's store was away: the grace period begins before its table is read",
-                listOf(RowSnapshot(listOf(row), StorePosition(5), sinceStoreRecoveryMs = 7).right()),
+                listOf(
+                    RowSnapshot(listOf(row), StorePosition(5), sinceStoreRecoveryMs = 7).right()
+                ),
                 listOf("returned", "all", "ok")
             ),
             Case(
@@ -121,6 +123,10 @@
             seen += "ok"
         }
 
+        override fun storeRestored() {
+            seen += "restored"
+        }
+
         override fun storeRecovered(agoMs: Long) {
             seen += "returned"
         }
