Register a host again after the store was restored

A host registered itself once, at its start. A restore from an older copy loses the rows of the hosts that had started since: hosts that start afterwards do not find them, and after a restart of many at once two groups of hosts that know nothing of each other go on side by side, each with its own slot owner and quotas.

Hosts now register again and read the directory when the era rises, spread over five seconds (at 1,200 hosts 240 writes a second). KnownEra moves to the store's API: the store's client tells it of each reply, the messages of other hosts the others.

SwimMembershipTest failed without the call (two groups of two for 20 s), passes with it.

--- a/core/membership/src/main/kotlin/org/hyssoprack/membership/MembershipSettings.kt
+++ b/core/membership/src/main/kotlin/org/hyssoprack/membership/MembershipSettings.kt
@@ -22,6 +22,8 @@
  * @property deadProbeIntervalMs time between probes of dead members, which may have become
  *   reachable again.
  * @property joinIntervalMs time between attempts to join through one of the seeds.
+ * @property rejoinSpreadMs time over which the hosts register again after the directory was restored
+ *   from an older copy, so that they do not exceed the store's rate of writes.
  * @property pauseThresholdMs time without a tick after which the process is assumed to have been
  *   paused.
  * @property leftRetentionMs time for which members that left stay in the list.
@@ -40,6 +42,7 @@
     val antiEntropyIntervalMs: Long = 10_000,
     val deadProbeIntervalMs: Long = 2_000,
     val joinIntervalMs: Long = 500,
+    val rejoinSpreadMs: Long = 5_000,
     val pauseThresholdMs: Long = 1_000,
     val leftRetentionMs: Long = 60_000,
     val deadRetentionMs: Long = 7_200_000
--- a/core/membership/src/main/kotlin/org/hyssoprack/membership/SwimMembership.kt
+++ b/core/membership/src/main/kotlin/org/hyssoprack/membership/SwimMembership.kt
@@ -4,13 +4,13 @@
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.ExperimentalCoroutinesApi
 import kotlinx.coroutines.channels.Channel
+import kotlinx.coroutines.delay
 import kotlinx.coroutines.flow.MutableStateFlow
 import kotlinx.coroutines.flow.StateFlow
 import kotlinx.coroutines.flow.asStateFlow
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.selects.onTimeout
 import kotlinx.coroutines.selects.select
-import kotlinx.coroutines.withTimeoutOrNull
 import org.hyssoprack.common.BackendServerId
 import org.hyssoprack.common.BundleVersion
 import org.hyssoprack.common.Clock
@@ -47,6 +47,7 @@
         DirectoryTask(self, directory, log) { commands.send(MemberCommand.AddSeeds(it)) }
     }
     private val expired = Channel<HostRef>(COMMAND_LIMIT)
+    private val restored = Channel<Unit>(Channel.CONFLATED)
     private val ownership = RendezvousOwnership()
     private val current = MutableStateFlow(table.view())
     private var nextTickMs = clock.nowMs()
@@ -72,15 +73,32 @@
         commands.trySend(MemberCommand.Leave)
     }
 
+    /**
+     * Registers this host again and looks for hosts that it does not know, since the directory may
+     * have been restored from an older copy.
+     */
+    fun storeRestored() {
+        restored.trySend(Unit)
+    }
+
+    @OptIn(ExperimentalCoroutinesApi::class)
     private suspend fun maintainDirectory(directoryTask: DirectoryTask) {
         directoryTask.join()
         while (true) {
-            val dead = withTimeoutOrNull(ALONE_CHECK_INTERVAL_MS) { expired.receive() }
-            if (dead != null) directoryTask.remove(dead)
+            select {
+                expired.onReceive { directoryTask.remove(it) }
+                restored.onReceive { joinAgain(directoryTask) }
+                onTimeout(ALONE_CHECK_INTERVAL_MS) {}
+            }
             if (current.value.members.size == 1) directoryTask.findSeeds()
         }
     }
 
+    private suspend fun joinAgain(directoryTask: DirectoryTask) {
+        delay(random.nextLong(settings.rejoinSpreadMs))
+        directoryTask.join()
+    }
+
     private suspend fun run() {
         while (true) {
             val command = nextCommand()
--- a/core/membership/src/test/kotlin/org/hyssoprack/membership/SwimMembershipTest.kt
+++ b/core/membership/src/test/kotlin/org/hyssoprack/membership/SwimMembershipTest.kt
@@ -51,6 +51,18 @@
         assertThat(hosts.all { reaches(it) { view -> view.live().size == 3 } }).isTrue()
     }
 
+    @Example
+    fun `hosts whose rows a restored store lost are found by those that start afterwards`() {
+        val hosts = ArrayList(List(2) { start(it, seeds = emptyList()) })
+        assertThat(hosts.all { reaches(it) { view -> view.live().size == 2 } }).isTrue()
+        table.rows.clear()
+        hosts += List(2) { start(2 + it, seeds = emptyList()) }
+        assertThat(reaches(hosts[3]) { view -> view.live().size == 2 }).isTrue()
+        hosts.forEach { it.storeRestored() }
+        assertThat(hosts.all { reaches(it) { view -> view.live().size == 4 } }).isTrue()
+        assertThat(table.rows.size).isEqualTo(4)
+    }
+
     @Example
     fun `the announced status and the leaving state of a host reach its peers`() {
         val hosts = List(2) { start(it, seeds = listOf(SimulatedNetwork.address(0))) }
--- a/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/feeds/SharedFeeds.kt
+++ b/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/feeds/SharedFeeds.kt
@@ -9,6 +9,7 @@
 import org.hyssoprack.common.HostId
 import org.hyssoprack.common.HostRef
 import org.hyssoprack.link.Link
+import org.hyssoprack.store.KnownEra
 import org.hyssoprack.store.StorePosition
 
 /**
@@ -18,13 +19,13 @@
 class SharedFeeds(
     private val link: Link,
     private val clock: Clock,
-    private val scope: CoroutineScope
+    private val scope: CoroutineScope,
+    internal val knownEra: KnownEra = KnownEra()
 ) {
     private val replicas = HashMap<String, TableReplica>()
     private val heldRequests = HashMap<String, ArrayList<HeldRequest>>()
     private val pending = HashMap<Long, CompletableDeferred<FeedMessage>>()
     private var lastNumber = 0L
-    internal val knownEra = KnownEra()
 
     private class HeldRequest(val from: HostId, val request: FeedMessage.Request)
 
--- a/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/feeds/SharedRowFeed.kt
+++ b/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/feeds/SharedRowFeed.kt
@@ -38,7 +38,7 @@
     override suspend fun read(): Either<Failure, RowSnapshot> {
         val reply =
             requestFromReader(position = null, waitMs = 0) as? FeedMessage.Rows
-                ?: return direct.read().onRight { knownEra.readFromStore(it.position.era) }
+                ?: return direct.read()
         return RowSnapshot(
             reply.feedRows(),
             reply.position,
@@ -66,7 +66,6 @@
             ).left()
 
         else -> direct.changes(position, waitMs)
-            .onRight { knownEra.readFromStore(it.position.era) }
     }
 
     /** Returns the reader's reply, or null if the store is to be read instead. */
