Record the usage of quotas again after the store was restored

The recorder writes a row when usage has grown by a step or three seconds have passed, and expects the revision that it wrote last. A restored store has an older row or none, so a restart of all hosts read the usage of some seconds ago and an account could use its quota twice; a revision that was given out again named a row of other content.

The recorder now forgets what it wrote when the era rises, also of a write under way, and writes all usage again at its next two rounds.

QuotaRecorderTest failed without it: the row that the copy lacks stayed away.

--- a/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/QuotaRecorder.kt
+++ b/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/QuotaRecorder.kt
@@ -35,6 +35,7 @@
 ) {
     private val written = HashMap<ClientAccount, WrittenUsage>()
     private val writing = HashSet<ClientAccount>()
+    private var restores = 0
 
     private class WrittenUsage(val revision: Long, val counted: Double, val ms: Long)
 
@@ -50,6 +51,15 @@
         }
     }
 
+    /**
+     * Records all usage again, since the store was restored from a copy that may lack it. Revisions
+     * of before do not name the same rows.
+     */
+    fun storeRestored() {
+        restores++
+        written.clear()
+    }
+
     /** Launches the writes that are due in [scope]; called periodically. */
     fun record(scope: CoroutineScope, accounts: Collection<Account>) {
         if (!isLedgerOwner()) return
@@ -74,10 +84,12 @@
             val text = Json.encodeToString(QuotaRecord.serializer(), recordOf(account.name))
             val key = RowKey(TABLE, account.name.value)
             val expected = written[account.name]?.revision ?: 0
+            val restoresBefore = restores
             val result = withTimeoutOrNull(WRITE_LIMIT_MS) {
                 table.compareAndSet(key, expected, text)
             } ?: return log.event("quota-record-unanswered", "account" eq account.name)
             val revision = revisionAfter(result) ?: return handleFailure(account.name, result)
+            if (restores != restoresBefore) return
             // After a conflict the row holds another host's record, so any further usage is
             // written.
             val isOwnRecord = result is WriteResult.Applied
--- a/gateway/forwarding/src/test/kotlin/org/hyssoprack/gateway/forwarding/QuotaRecorderTest.kt
+++ b/gateway/forwarding/src/test/kotlin/org/hyssoprack/gateway/forwarding/QuotaRecorderTest.kt
@@ -18,6 +18,8 @@
 import org.hyssoprack.serving.limits.QuotaTolerance
 import org.hyssoprack.serving.settings.Account
 import org.hyssoprack.serving.settings.QuotaUnit
+import org.hyssoprack.store.Row
+import org.hyssoprack.store.RowKey
 
 class QuotaRecorderTest {
     private val self = HostRef(HostId("a"), Incarnation(1))
@@ -62,6 +64,32 @@
         }
     }
 
+    @Example
+    fun `usage is recorded again at once when the store was restored from an older copy`() {
+        class Case(val name: String, val restoredRow: Row?)
+        val key = RowKey("quota", "bakery")
+        val cases = listOf(
+            Case("the row is not in the copy", restoredRow = null),
+            Case("an older row", Row(key, revision = 1, value = "{}")),
+            Case("the row's revision was given out again", Row(key, revision = 2, value = "{}"))
+        )
+        for (case in cases) {
+            startEmpty()
+            val scope = CoroutineScope(Dispatchers.Unconfined)
+            repeat(2) {
+                repeat(quota.toInt() / 3) { ledger.admit(self, account, 1.0) }
+                recorder.record(scope, listOf(account))
+            }
+            val before = table.rows.getValue(key)
+            table.rows.remove(key)
+            case.restoredRow?.let { table.rows[key] = it }
+            recorder.storeRestored()
+            repeat(2) { recorder.record(scope, listOf(account)) }
+            assertThat(before.revision, case.name).isEqualTo(2L)
+            assertThat(table.rows[key]?.value, case.name).isEqualTo(before.value)
+        }
+    }
+
     @Example
     fun `a store that refuses writes is not asked in a loop`() {
         runBlocking { recorder.restore() }
