Take a version of the settings that is written again with another content

After a restore the store may list an older version, the one in force, or the one in force with another content. The last was ignored and taken for a confirmation of what is in force, so a host would have served by settings that the operator had replaced.

An older version is still ignored (the copy has it) and logged as settings-older; the same text changes nothing; the same version with another text is put in force.

--- a/core/serving/src/main/kotlin/org/hyssoprack/serving/settings/ActiveSettings.kt
+++ b/core/serving/src/main/kotlin/org/hyssoprack/serving/settings/ActiveSettings.kt
@@ -16,11 +16,13 @@
     private var confirmed: ClockReading? = null
 
     /**
-     * Puts [settings] in force if they are newer than those in force. Returns whether they were.
+     * Puts [settings] in force unless they are older than those in force. Returns whether they are
+     * in force now. A version may be written again with another content after the store was
+     * restored from a copy that lacks it; an older version is one that the copy has.
      */
     fun accept(settings: ServingSettings): Boolean {
         val active = current
-        if (active != null && settings.version <= active.version) return false
+        if (active != null && settings.version < active.version) return false
         current = settings
         return true
     }
--- a/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/SettingsSink.kt
+++ b/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/SettingsSink.kt
@@ -22,11 +22,14 @@
     private val log: EventLog,
     private val onAccepted: (ServingSettings) -> Unit
 ) : FeedSink {
+    private var activeText: String? = null
+
     override fun replace(rows: List<FeedRow>): Boolean = change(rows)
 
     override fun change(rows: List<FeedRow>): Boolean {
         val text = rows.lastOrNull { it.key == rowKey }?.value ?: return true
-        return decode(text).fold(::rejected, ::accepted)
+        if (text == activeText) return true
+        return decode(text).fold(::rejected) { accepted(it, text) }
     }
 
     override fun confirm(readStarted: ClockReading) {
@@ -42,12 +45,13 @@
         return false
     }
 
-    private fun accepted(settings: ServingSettings): Boolean {
+    private fun accepted(settings: ServingSettings, text: String): Boolean {
         val previous = active.current?.version
         if (!active.accept(settings)) {
-            log.event("settings-not-newer", "version" eq settings.version, "active" eq previous)
+            log.event("settings-older", "version" eq settings.version, "active" eq previous)
             return true
         }
+        activeText = text
         log.event(
             "settings-in-force",
             "version" eq settings.version,
