Block a request that crashes each server which begins to run it

One request, sent again and again with the same caller, path and body, ended one server after the other: nothing connected its arrivals. Evidence was kept by parts of prompts that requests share; the request as a whole was no suspect, and requests without parts (plain services, unsafe ones) were no evidence at all.

It is one more suspect in CrashingPartRegistry, last in the order of its parts, and goes the same way: crashes that several hosts see count once, neighbours on the server are suspects too, a response that begins clears it. The messages are as before: the own part is one more id in them, which an owner of an older build takes for a part. Callers name parts in hexadecimal digits, so none can name an own part. It is computed once, only for what has crashed, while anything is suspected, and for bodies up to 1 kB, whose past responses tell repeated queries from a deadly request.

--- a/core/explain/src/main/kotlin/org/hyssoprack/explain/Cause.kt
+++ b/core/explain/src/main/kotlin/org/hyssoprack/explain/Cause.kt
@@ -26,6 +26,9 @@
     /** A part of the request's prompt crashes backend servers. */
     PROMPT_PART,
 
+    /** The same request crashed backend servers before. */
+    CRASHING_REQUEST,
+
     /** Most of the time passed at the backend server. */
     SLOW_SERVER,
 
--- a/core/explain/src/main/kotlin/org/hyssoprack/explain/RequestExplainer.kt
+++ b/core/explain/src/main/kotlin/org/hyssoprack/explain/RequestExplainer.kt
@@ -33,7 +33,8 @@
                 end,
                 "The host was stopping."
             )
-            ResultCode.PROMPT_PART_BLOCKED -> blocked(end)
+            ResultCode.PROMPT_PART_BLOCKED -> blockedPart(end)
+            ResultCode.REQUEST_BLOCKED -> blockedRequest(end)
             else -> explanation(Cause.NOT_ALLOWED, end, end["detail"].orEmpty())
         }
     }
@@ -69,7 +70,8 @@
         return when {
             code in CALLER_LEFT_CODES -> explanation(Cause.CALLER_LEFT, end, "The caller left.")
             code == ResultCode.SERVERS_LIMITED.wireName -> limited(end)
-            code == ResultCode.PROMPT_PART_BLOCKED.wireName -> blocked(end)
+            code == ResultCode.PROMPT_PART_BLOCKED.wireName -> blockedPart(end)
+            code == ResultCode.REQUEST_BLOCKED.wireName -> blockedRequest(end)
             code in NO_SLOT_CODES -> queued(end, "No slot was free in time: ${end["detail"]}")
             code in SERVER_FAILURE_CODES || isServerError(code) -> serverFailed(end)
             isMostlyQueued(end) -> queued(end, queueingSummary(end))
@@ -115,19 +117,27 @@
     }
 
     /** Explains a request that was refused for a part of its prompt, by what all hosts logged. */
-    private fun blocked(end: HostEvent): Explanation {
-        val part = end["part"] ?: partIn(end["detail"].orEmpty())
-        val history = events.filter { it.name == PROMPT_PART && part != null && it["part"] == part }
-            .takeWhile { it.ms <= end.ms }
-            .takeLast(MAX_PART_LINES)
-        return Explanation(
-            cause = Cause.PROMPT_PART,
-            summary = end["detail"] ?: "Part ${part ?: "unknown"} of the prompt crashes servers.",
-            evidence = listOf(end.line) + history.map { it.line }
-        )
+    private fun blockedPart(end: HostEvent): Explanation {
+        val part = end["part"] ?: partIn(end, PART_PATTERN)
+        val summary = end["detail"] ?: "Part ${part ?: "unknown"} of the prompt crashes servers."
+        return Explanation(Cause.PROMPT_PART, summary, listOf(end.line) + history(part, end))
     }
 
-    private fun partIn(detail: String): String? = PART_PATTERN.find(detail)?.groupValues?.get(1)
+    /** Explains a request that was refused since it crashed servers before. */
+    private fun blockedRequest(end: HostEvent): Explanation {
+        val part = end["part"] ?: partIn(end, OWN_PART_PATTERN)
+        val summary = end["detail"] ?: "The same request crashed servers before."
+        return Explanation(Cause.CRASHING_REQUEST, summary, listOf(end.line) + history(part, end))
+    }
+
+    private fun history(part: String?, end: HostEvent): List<String> = events
+        .filter { it.name in PART_EVENTS && part != null && it["part"] == part }
+        .takeWhile { it.ms <= end.ms }
+        .takeLast(MAX_PART_LINES)
+        .map { it.line }
+
+    private fun partIn(end: HostEvent, pattern: Regex): String? =
+        pattern.find(end["detail"].orEmpty())?.groupValues?.get(1)
 
     private fun serverFailed(end: HostEvent): Explanation {
         val server = end["servers"].orEmpty().substringAfterLast(',')
@@ -169,7 +179,7 @@
     private companion object {
         const val REQUEST_REFUSED = "request-refused"
         const val REQUEST_ENDED = "request-ended"
-        const val PROMPT_PART = "prompt-part"
+        val PART_EVENTS = setOf("prompt-part", "crashing-request")
         const val FIRST_ERROR_STATUS = 500
 
         // Callers of interactive routes notice a wait of this length.
@@ -184,6 +194,7 @@
         /** Maximum number of log lines about a part of the prompt that are listed as evidence. */
         const val MAX_PART_LINES = 10
         val PART_PATTERN = Regex("""^Part (\S+) of the prompt""")
+        val OWN_PART_PATTERN = Regex("""\b(request:[0-9a-f]+)""")
         val CALLER_LEFT_CODES = names(ResultCode.CALLER_LEFT, ResultCode.CALLER_LEFT_RUNNING)
         val NO_SLOT_CODES = names(
             ResultCode.QUEUE_FULL,
--- a/core/explain/src/test/kotlin/org/hyssoprack/explain/RequestExplainerTest.kt
+++ b/core/explain/src/test/kotlin/org/hyssoprack/explain/RequestExplainerTest.kt
@@ -139,6 +139,26 @@
         }
     }
 
+    @Example
+    fun `a request refused as it crashed servers before is explained by its own log lines`() {
+        val detail = "detail=\"The same request, request:0af3, crashed backend servers before.\""
+        val history = listOf(
+            "08.000 event=crashing-request self=a part=request:0af3 change=suspected crashes=2",
+            "09.000 event=crashing-request self=b part=request:0af3 change=blocked crashes=3",
+            "09.100 event=crashing-request self=b part=request:77 change=suspected crashes=2"
+        )
+        val ends = listOf(
+            ended("10.000", "x", "request-blocked", detail),
+            "10.000 event=request-refused self=a request=x code=2014 $detail"
+        )
+        for (end in ends) {
+            val found = explain(history + end)
+            assertThat(found?.cause, end).isEqualTo(Cause.CRASHING_REQUEST)
+            assertThat(found?.evidence?.drop(1).orEmpty(), end)
+                .isEqualTo(history.take(2).map { it.substringAfter(' ') })
+        }
+    }
+
     @Example
     fun `of many log lines about a part only the last ones before the refusal are listed`() {
         val history = (10..50).map {
--- a/core/serving/src/main/kotlin/org/hyssoprack/serving/limits/BlockRule.kt
+++ b/core/serving/src/main/kotlin/org/hyssoprack/serving/limits/BlockRule.kt
@@ -17,12 +17,13 @@
         val minCrashes = if (hasBegun) MIN_CRASHES_BEGUN else MIN_CRASHES
         if (evidence.size < minCrashes) return false
         val extentMs = evidence.maxOf { it.seenMs } - evidence.minOf { it.seenMs }
-        return extentMs >= minExtentMs(hasBegun, evidence.size)
+        return extentMs >= minExtentMs(suspect, hasBegun)
     }
 
-    private fun minExtentMs(hasBegun: Boolean, crashes: Int): Long = when {
+    private fun minExtentMs(suspect: Suspect, hasBegun: Boolean): Long = when {
         hasBegun -> MIN_EXTENT_BEGUN_MS
-        crashes >= MANY_CRASHES -> MIN_EXTENT_MANY_MS
+        suspect.key.part.isOwnPart -> MIN_EXTENT_OWN_MS
+        suspect.evidence.size >= MANY_CRASHES -> MIN_EXTENT_MANY_MS
         else -> MIN_EXTENT_MS
     }
 
@@ -33,6 +34,9 @@
         // A part that many requests have can end a whole service in less than MIN_EXTENT_MS.
         const val MANY_CRASHES = 5
         const val MIN_EXTENT_MANY_MS = 100L
+
+        // Few requests are at three servers that crash for another reason.
+        const val MIN_EXTENT_OWN_MS = 100L
         const val MIN_CRASHES_BEGUN = 5
         const val MIN_EXTENT_BEGUN_MS = 2_000L
     }
--- a/core/serving/src/main/kotlin/org/hyssoprack/serving/limits/CrashingPartRegistry.kt
+++ b/core/serving/src/main/kotlin/org/hyssoprack/serving/limits/CrashingPartRegistry.kt
@@ -7,7 +7,8 @@
 import org.hyssoprack.common.ServiceId
 
 /**
- * Registry of the parts of prompts that may crash the servers that begin to answer them. The slot
+ * Registry of the parts of prompts, and of the requests as a whole by their own parts, that may
+ * crash the servers that begin to answer them. The slot
  * owner decides which parts are blocked; a host that has not heard from it for a time decides by
  * what it knows. Times are of this host's monotonic clock.
  */
@@ -30,8 +31,11 @@
     /** Whether the slot owner has to be told at once of something that it does not know. */
     val hasNews: Boolean get() = own.isNew || news.isNew
 
-    /** Number of blocked parts. */
-    val blockedCount: Int get() = table.blocked.size
+    /** Number of blocked parts that requests may share. */
+    val blockedCount: Int get() = table.blocked.count { !it.key.part.isOwnPart }
+
+    /** Number of blocked requests. */
+    val blockedRequestCount: Int get() = table.blocked.count { it.key.part.isOwnPart }
 
     /** Number of suspected and blocked parts. */
     val size: Int get() = table.size
--- a/core/serving/src/main/kotlin/org/hyssoprack/serving/limits/PartGate.kt
+++ b/core/serving/src/main/kotlin/org/hyssoprack/serving/limits/PartGate.kt
@@ -81,8 +81,15 @@
         if (parts.isEmpty()) PartVerdict.Allowed else registry.verdict(service, parts)
 
     // Without a time to retry after: no retry can succeed while the part is blocked.
-    private fun blocked(part: PromptPartId) = Failure(
-        code = ResultCode.PROMPT_PART_BLOCKED,
-        detail = "Part $part of the prompt crashes backend servers."
-    )
+    private fun blocked(part: PromptPartId): Failure = if (part.isOwnPart) {
+        Failure(
+            code = ResultCode.REQUEST_BLOCKED,
+            detail = "The same request, $part, crashed backend servers before."
+        )
+    } else {
+        Failure(
+            code = ResultCode.PROMPT_PART_BLOCKED,
+            detail = "Part $part of the prompt crashes backend servers."
+        )
+    }
 }
--- a/core/serving/src/main/kotlin/org/hyssoprack/serving/limits/PartLog.kt
+++ b/core/serving/src/main/kotlin/org/hyssoprack/serving/limits/PartLog.kt
@@ -19,7 +19,7 @@
         changes++
         val firstMs = suspect.crashes.values.minOfOrNull { it.seenMs }
         log.event(
-            "prompt-part",
+            if (suspect.key.part.isOwnPart) "crashing-request" else "prompt-part",
             "change" eq change,
             "part" eq suspect.key.part,
             "service" eq suspect.key.service,
--- a/core/serving/src/main/kotlin/org/hyssoprack/serving/limits/Suspect.kt
+++ b/core/serving/src/main/kotlin/org/hyssoprack/serving/limits/Suspect.kt
@@ -39,7 +39,9 @@
     /** Whether the present slot owner listed what this host knows of the part. */
     var isListed = false
 
-    val schedule = TrialSchedule()
+    val schedule = TrialSchedule(
+        if (key.part.isOwnPart) TrialSchedule.MAX_TRIALS_OWN else TrialSchedule.MAX_TRIALS
+    )
     val isBlocked: Boolean get() = blockedMs != null
     val lastMs: Long get() = crashes.values.maxOfOrNull { it.seenMs } ?: Long.MIN_VALUE
 
--- a/core/serving/src/main/kotlin/org/hyssoprack/serving/limits/TrialSchedule.kt
+++ b/core/serving/src/main/kotlin/org/hyssoprack/serving/limits/TrialSchedule.kt
@@ -10,8 +10,11 @@
  * servers at that time end within those 3,000 ms. If all of the crashes fell within the least time,
  * the next one is the first request of the three, the part is blocked by it, and two trials are
  * left. Requests sent beside that one in the time until hosts learn of the block are not bounded.
+ *
+ * The own part of a request is blocked by its third crash, or by the next one if the first three
+ * fell within the least time. That one, one beside it and [MAX_TRIALS_OWN] make its three.
  */
-internal class TrialSchedule {
+internal class TrialSchedule(private val maxTrials: Int = MAX_TRIALS) {
     var trials = 0
         private set
 
@@ -33,7 +36,7 @@
     fun raiseTo(count: Int, nowMs: Long) {
         if (count <= trials) return
         trials = count
-        dueMs = if (trials < MAX_TRIALS) nowMs + SECOND_TRIAL_MS else Long.MAX_VALUE
+        dueMs = if (trials < maxTrials) nowMs + SECOND_TRIAL_MS else Long.MAX_VALUE
     }
 
     /** Records that a request with the part came at [ms]. */
@@ -53,7 +56,7 @@
     fun take(nowMs: Long) {
         ask(nowMs)
         trials++
-        dueMs = if (trials < MAX_TRIALS) nowMs + SECOND_TRIAL_MS else Long.MAX_VALUE
+        dueMs = if (trials < maxTrials) nowMs + SECOND_TRIAL_MS else Long.MAX_VALUE
         isDueByOwner = false
     }
 
@@ -61,6 +64,7 @@
         const val FIRST_TRIAL_MS = 30_000L
         const val SECOND_TRIAL_MS = 8 * FIRST_TRIAL_MS
         const val MAX_TRIALS = 2
+        const val MAX_TRIALS_OWN = 1
         const val PROBATION_MS = 600_000L
     }
 }
--- a/core/serving/src/main/kotlin/org/hyssoprack/serving/queue/QueuedRequest.kt
+++ b/core/serving/src/main/kotlin/org/hyssoprack/serving/queue/QueuedRequest.kt
@@ -21,7 +21,7 @@
  * @property excludedServers servers that the host sending the request must not use.
  * @property domain failure domain of the host that sends the request; null for this host's.
  * @property isStarted whether the caller has received a part of the response.
- * @property sharedParts parts of the prompt that other requests may share, in order.
+ * @property suspectParts parts of the request that may crash servers, in order.
  * @property isRelayedHere whether this host sends the request and relays the response.
  */
 class QueuedRequest(
@@ -37,7 +37,7 @@
     val excludedServers: Set<BackendServerId> = emptySet(),
     val domain: FailureDomain? = null,
     val isStarted: Boolean = false,
-    val sharedParts: List<PromptPartId> = emptyList(),
+    val suspectParts: List<PromptPartId> = emptyList(),
     val isRelayedHere: Boolean = true
 ) {
     /** Returns whether the response can still be on time. */
--- a/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/RequestForwarder.kt
+++ b/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/RequestForwarder.kt
@@ -75,7 +75,9 @@
         call: AdmittedRequest,
         answer: ResponseWriter
     ) {
-        val progress = RequestProgress(call.account?.let { QuotaCharge(it, call.quota) })
+        val progress = RequestProgress(call.account?.let { QuotaCharge(it, call.quota) }) {
+            OwnPartDigest.of(request, call)
+        }
         try {
             val leftMs = (call.endMs - clock.nowMs()).coerceAtLeast(1)
             val end = withTimeoutOrNull(leftMs) { tryServers(request, call, answer, progress) }
--- a/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/RequestPlacement.kt
+++ b/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/RequestPlacement.kt
@@ -7,6 +7,7 @@
 import kotlinx.coroutines.CancellationException
 import org.hyssoprack.common.Clock
 import org.hyssoprack.common.Failure
+import org.hyssoprack.common.PromptPartId
 import org.hyssoprack.common.ResultCode
 import org.hyssoprack.gateway.CallerRequest
 import org.hyssoprack.gateway.ServerConnections
@@ -34,15 +35,15 @@
         progress: RequestProgress
     ): Either<Failure, GrantedRequest> {
         var call = admitted
-        val shared = suspectParts(call, progress)
         while (true) {
-            parts.refusalBeforeWait(call.service, shared)?.let {
+            parts.refusalBeforeWait(call.service, suspectParts(call, progress))?.let {
                 return refused(call, progress, it)
             }
             val slot = slots.acquire(queued(call, progress), progress.charge).getOrElse {
                 return refused(call, progress, it)
             }
-            parts.refusalBeforeSend(call.service, shared, slot.isTrial)?.let {
+            val suspects = suspectParts(call, progress)
+            parts.refusalBeforeSend(call.service, suspects, slot.isTrial)?.let {
                 slot.release(SlotResult(SlotOutcome.UNUSED))
                 return refused(call, progress, it)
             }
@@ -109,9 +110,16 @@
         return refused(granted.call, progress, Failure(ResultCode.NO_BACKEND_SERVER, detail))
     }
 
-    /** An event has shown that no part of the request crashes servers. */
-    private fun suspectParts(call: AdmittedRequest, progress: RequestProgress) =
-        if (progress.lastEventMs == null) call.metadata.sharedParts else emptyList()
+    /**
+     * Returns the parts that may crash servers; none after an event, which has shown that no part
+     * does. The request's own part is computed only while there are suspects.
+     */
+    private fun suspectParts(call: AdmittedRequest, progress: RequestProgress): List<PromptPartId> =
+        when {
+            progress.lastEventMs != null -> emptyList()
+            parts.registry.size == 0 -> call.metadata.sharedParts
+            else -> call.metadata.sharedParts + progress.ownPart
+        }
 
     private fun refused(
         call: AdmittedRequest,
@@ -141,7 +149,7 @@
             patienceMs = patienceMs,
             avoid = progress.triedServers,
             isStarted = progress.isStarted,
-            sharedParts = suspectParts(call, progress)
+            suspectParts = suspectParts(call, progress)
         )
     }
 
--- a/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/RequestProgress.kt
+++ b/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/RequestProgress.kt
@@ -1,14 +1,19 @@
 package org.hyssoprack.gateway.forwarding
 
 import org.hyssoprack.common.BackendServerId
+import org.hyssoprack.common.PromptPartId
 import org.hyssoprack.gateway.forwarding.slots.QuotaCharge
 
 /**
  * Progress of one request over all its attempts.
  *
  * @property charge the charge to its account's quota; null if it has no account.
+ * @param ownPartOf computes the request's own part.
  */
-internal class RequestProgress(val charge: QuotaCharge? = null) {
+internal class RequestProgress(val charge: QuotaCharge? = null, ownPartOf: () -> PromptPartId) {
+    /** The request's own part, computed when it is first asked for. */
+    val ownPart: PromptPartId by lazy(LazyThreadSafetyMode.NONE, ownPartOf)
+
     /** Servers that were tried, in order. */
     val triedServers = LinkedHashSet<BackendServerId>()
 
--- a/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/ServerAttempt.kt
+++ b/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/ServerAttempt.kt
@@ -8,6 +8,7 @@
 import java.io.ByteArrayOutputStream
 import kotlinx.coroutines.withTimeoutOrNull
 import org.hyssoprack.common.Clock
+import org.hyssoprack.common.PromptPartId
 import org.hyssoprack.gateway.CallerRequest
 import org.hyssoprack.gateway.DispatchMetadata
 import org.hyssoprack.gateway.ResponseMetadata
@@ -243,14 +244,21 @@
         hasBegun = true
         if (promptRead) slot.recordFirstEvent(elapsedMs)
         val server = state.server
-        parts.recordBegun(server.service, server.version, call.metadata.sharedParts)
+        parts.recordBegun(server.service, server.version, begunParts())
+    }
+
+    // Requests without a large body are sent again without being the same call, such as status
+    // queries. That they began before tells them from one that crashes servers.
+    private fun begunParts(): List<PromptPartId> {
+        val isOwnPartNeeded = parts.size > 0 || request.body.size <= SMALL_BODY_BYTES
+        val shared = call.metadata.sharedParts
+        return if (isOwnPartNeeded) shared + progress.ownPart else shared
     }
 
     private fun recordCrash() {
         val server = state.server
-        val shared = call.metadata.sharedParts
-        if (shared.isEmpty()) return
-        parts.recordCrash(PartCrash(server.service, server.instance, server.version, shared))
+        val suspects = call.metadata.sharedParts + progress.ownPart
+        parts.recordCrash(PartCrash(server.service, server.instance, server.version, suspects))
     }
 
     /** Returns why a stream that still sends bytes is aborted, or null if it continues. */
@@ -396,6 +404,8 @@
         const val MAX_EVENT_BYTES = 1_048_576
         const val MAX_RESPONSE_BYTES = 4_194_304
 
+        const val SMALL_BODY_BYTES = 1_024
+
         // Margin before the server's idle timeout: whether a request runs that is sent while the
         // server closes the connection is unknown.
         const val IDLE_MARGIN_MS = 800L
--- a/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/slots/Lease.kt
+++ b/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/slots/Lease.kt
@@ -10,7 +10,7 @@
  * One host's request at the slot owner, from the request to the release of the slot.
  *
  * @property endMs monotonic time after which the request cannot be in progress.
- * @property sharedParts parts of the prompt that other requests may share.
+ * @property suspectParts parts of the request that may crash servers.
  * @param isRelayedHere whether this host relays the response.
  */
 internal class Lease(
@@ -20,7 +20,7 @@
     private val isRelayedHere: Boolean,
     val account: ClientAccount? = null,
     val quota: Double = 0.0,
-    val sharedParts: List<PromptPartId> = emptyList()
+    val suspectParts: List<PromptPartId> = emptyList()
 ) {
     /** Whether the request is a trial of a blocked part. */
     var isTrial = false
--- a/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/slots/SlotClient.kt
+++ b/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/slots/SlotClient.kt
@@ -359,7 +359,7 @@
             tried = request.avoid,
             excludedServers = excludedServers(owner, request.service) + unusable,
             isStarted = request.isStarted,
-            sharedParts = request.sharedParts
+            suspectParts = request.suspectParts
         )
     }
 
--- a/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/slots/SlotMessage.kt
+++ b/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/slots/SlotMessage.kt
@@ -40,7 +40,8 @@
      * @property tried servers that have already failed the request.
      * @property excludedServers servers that the sender must not use.
      * @property isStarted whether the caller has received a part of the response.
-     * @property sharedParts parts of the prompt that other requests may share, in order.
+     * @property suspectParts parts of the prompt that other requests may share, in order, and the
+     *   request's own part while any part is suspected to crash servers.
      */
     @Serializable
     @SerialName("sa")
@@ -61,7 +62,7 @@
         @SerialName("x") val tried: Set<BackendServerId> = emptySet(),
         @SerialName("y") val excludedServers: Set<BackendServerId> = emptySet(),
         @SerialName("h") val isStarted: Boolean = false,
-        @SerialName("c") val sharedParts: List<PromptPartId> = emptyList()
+        @SerialName("c") val suspectParts: List<PromptPartId> = emptyList()
     ) : SlotMessage {
         val work: WorkEstimate get() = WorkEstimate(
             promptTokens = promptTokens,
--- a/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/slots/SlotOwner.kt
+++ b/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/slots/SlotOwner.kt
@@ -125,7 +125,7 @@
     private fun handleRequest(from: HostRef, request: SlotMessage.Request) {
         val client = client(from)
         if (client.reportedMs == null) send(from.host, SlotMessage.ReportRequest)
-        pools.parts.refusalBeforeWait(request.service, request.sharedParts)?.let {
+        pools.parts.refusalBeforeWait(request.service, request.suspectParts)?.let {
             return refuse(from, request.number, it)
         }
         charge(from, request)?.let { return refuse(from, request.number, it) }
@@ -136,7 +136,7 @@
             isRelayedHere = from == self,
             account = request.account,
             quota = request.quota,
-            sharedParts = request.sharedParts
+            suspectParts = request.suspectParts
         )
         client.leases[request.number] = lease
         val queued = requestOf(request, isRelayedHere = from == self)
@@ -187,7 +187,7 @@
             },
             {
                 lease.granted(it, clock.nowMs())
-                lease.isTrial = pools.parts.admitToSlot(it.server.service, lease.sharedParts)
+                lease.isTrial = pools.parts.admitToSlot(it.server.service, lease.suspectParts)
                     .getOrElse { failure -> return takeBack(from, lease, failure) }
                 send(
                     from.host,
@@ -211,10 +211,10 @@
 
     /** Refuses the waiting requests with a part that has been blocked meanwhile. */
     private fun refuseBlocked() = clients.toList().forEach { (host, client) ->
-        client.leases.values.filter { it.waiting != null && it.sharedParts.isNotEmpty() }
+        client.leases.values.filter { it.waiting != null && it.suspectParts.isNotEmpty() }
             .forEach { lease ->
                 val service = lease.waiting?.service ?: return@forEach
-                pools.parts.refusalBeforeWait(service, lease.sharedParts)
+                pools.parts.refusalBeforeWait(service, lease.suspectParts)
                     ?.let { takeBack(host, lease, it) }
             }
     }
@@ -235,7 +235,7 @@
         val lease = lease(from, message.number) ?: return
         if (!lease.recordPromptRead()) return
         lease.state?.server?.let {
-            pools.parts.registry.recordBegun(it.service, it.version, lease.sharedParts)
+            pools.parts.registry.recordBegun(it.service, it.version, lease.suspectParts)
         }
         lease.state?.speed?.recordPrompt(tokens = lease.tokensAhead, firstMs = message.firstMs)
     }
@@ -333,7 +333,7 @@
             excludedServers = request.excludedServers,
             domain = request.domain,
             isStarted = request.isStarted,
-            sharedParts = request.sharedParts,
+            suspectParts = request.suspectParts,
             isRelayedHere = isRelayedHere
         )
     }
