Blame a shared part only for crashes of different requests

The explanations compete now. A part is blocked only if at least one of the crashes that speak against it, two if it had begun before, is not among those of the one request that was at most of the servers. So a part under which different requests crash is still blamed, even though each request came two or three times, and the crash of a neighbour for another reason does not condemn a part that sound requests use.

CrashingRequestRegistryTest failed before: "the part had begun, and another crash" blocked the part beside the request. CrashingRequestFleetTest asks that no part is blocked on any host; CrashingPartPropertyTest and WholeFleetCrashTest hold as they were.

--- a/core/serving/src/main/kotlin/org/hyssoprack/serving/limits/BlockRule.kt
+++ b/core/serving/src/main/kotlin/org/hyssoprack/serving/limits/BlockRule.kt
@@ -4,8 +4,17 @@
  * Chooses the part that is blocked for a crash. A part that never had a first event needs fewer
  * crashes than one that had. Crashes at about the same time have a common cause elsewhere, so they
  * must extend over a time.
+ *
+ * A part that several requests share is blocked only if no single request was at most of the
+ * crashed servers, since that request is the likelier cause then.
+ *
+ * @param crashesOfOneRequest returns how many crashes that speak against a part are those of one
+ *   request, of the one that was at most of them.
  */
-internal class BlockRule(val hasBegun: (Suspect) -> Boolean) {
+internal class BlockRule(
+    val hasBegun: (Suspect) -> Boolean,
+    private val crashesOfOneRequest: (Suspect) -> Int = { 0 }
+) {
     /** Returns the part to block among [suspects], or null if there is none. */
     fun choose(suspects: List<Suspect>): Suspect? = suspects.filter { isDue(it) }.maxWithOrNull(
         compareBy({ !hasBegun(it) }, { it.evidence.size }, { it.depth })
@@ -15,11 +24,18 @@
         val evidence = suspect.evidence
         val hasBegun = hasBegun(suspect)
         val minCrashes = if (hasBegun) MIN_CRASHES_BEGUN else MIN_CRASHES
-        if (evidence.size < minCrashes) return false
+        if (evidence.size < minCrashes || isExplainedByOneRequest(suspect)) return false
         val extentMs = evidence.maxOf { it.seenMs } - evidence.minOf { it.seenMs }
         return extentMs >= minExtentMs(suspect, hasBegun)
     }
 
+    /** Returns whether one request was at all but a few of the servers that crashed with the part. */
+    fun isExplainedByOneRequest(suspect: Suspect): Boolean {
+        if (suspect.key.part.isOwnPart) return false
+        val minOthers = if (hasBegun(suspect)) MIN_OTHERS_BEGUN else MIN_OTHERS
+        return suspect.evidence.size - crashesOfOneRequest(suspect) < minOthers
+    }
+
     private fun minExtentMs(suspect: Suspect, hasBegun: Boolean): Long = when {
         hasBegun -> MIN_EXTENT_BEGUN_MS
         suspect.key.part.isOwnPart -> MIN_EXTENT_OWN_MS
@@ -37,6 +53,10 @@
 
         // Few requests are at three servers that crash for another reason.
         const val MIN_EXTENT_OWN_MS = 100L
+
+        // A part of many requests is at servers that crash for another reason, too.
+        const val MIN_OTHERS = 1
+        const val MIN_OTHERS_BEGUN = 2
         const val MIN_CRASHES_BEGUN = 5
         const val MIN_EXTENT_BEGUN_MS = 2_000L
     }
--- a/core/serving/src/main/kotlin/org/hyssoprack/serving/limits/CrashingPartRegistry.kt
+++ b/core/serving/src/main/kotlin/org/hyssoprack/serving/limits/CrashingPartRegistry.kt
@@ -19,7 +19,10 @@
     private val table = SuspectTable(incidents, partLog)
     private val own = OwnCrashes()
     private val news = BegunNews()
-    private val rule = BlockRule { it.hasBegunElsewhere || it.key in begun }
+    private val rule = BlockRule(
+        hasBegun = { it.hasBegunElsewhere || it.key in begun },
+        crashesOfOneRequest = table::crashesOfOneRequest
+    )
     private val decisions = BlockDecisions(table, rule)
     private val records = SuspectRecords(table, begun)
     private val owner = FollowedOwner(clock)
@@ -254,7 +257,7 @@
         val extentMs = suspect.evidence.let { list ->
             list.maxOf { it.seenMs } - list.minOf { it.seenMs }
         }
-        if (extentMs < BlockRule.MIN_EXTENT_MS) return
+        if (extentMs < BlockRule.MIN_EXTENT_MS || rule.isExplainedByOneRequest(suspect)) return
         suspect.isLogged = true
         partLog.change("suspected", suspect, nowMs)
     }
--- a/core/serving/src/main/kotlin/org/hyssoprack/serving/limits/Suspect.kt
+++ b/core/serving/src/main/kotlin/org/hyssoprack/serving/limits/Suspect.kt
@@ -52,6 +52,10 @@
     val evidence: List<Crash>
         get() = crashes.values.filter { it.explainedBy == null || it.isTogether }
 
+    /** The servers whose crashes speak against the part. */
+    val evidenceServers: Set<ServerInstance>
+        get() = crashes.filterValues { it.explainedBy == null || it.isTogether }.keys
+
     /** Adds a crash at [seenMs]. Returns whether its server was not known. */
     fun add(server: ServerInstance, seenMs: Long): Boolean {
         val known = crashes[server]
--- a/core/serving/src/main/kotlin/org/hyssoprack/serving/limits/SuspectTable.kt
+++ b/core/serving/src/main/kotlin/org/hyssoprack/serving/limits/SuspectTable.kt
@@ -32,6 +32,17 @@
     fun blockedAmong(service: ServiceId, parts: List<PromptPartId>): List<Suspect> =
         blocked.filter { it.key.service == service && it.key.part in parts }
 
+    /**
+     * Returns how many of the crashes that speak against [suspect] are those of one request, of the
+     * one that was at most of them.
+     */
+    fun crashesOfOneRequest(suspect: Suspect): Int {
+        val servers = suspect.evidenceServers
+        return suspects.values
+            .filter { it.key.part.isOwnPart && it.key.isBesides(suspect.key) }
+            .maxOfOrNull { request -> servers.count { it in request.crashes } } ?: 0
+    }
+
     /** Blocks [suspect] from [blockedMs] on, which then explains the crashes with it. */
     fun block(suspect: Suspect, blockedMs: Long, nowMs: Long) {
         val isNew = !suspect.isBlocked
--- a/core/serving/src/test/kotlin/org/hyssoprack/serving/limits/CrashingRequestRegistryTest.kt
+++ b/core/serving/src/test/kotlin/org/hyssoprack/serving/limits/CrashingRequestRegistryTest.kt
@@ -66,10 +66,45 @@
                     advance(1_000)
                 }
             },
+            Case("the part had begun, and another crash", setOf(one)) {
+                begin(first, a)
+                repeat(4) { crash(first, a, one) }
+                crash(first, a, two)
+            },
             Case("the owner changes in mid-count", setOf(one)) {
                 repeat(2) { crash(first, a, one, host = 3) }
                 changeOwner(1)
                 crash(first, a, one, host = 2)
+            },
+            Case("the owner changes after the block", setOf(one)) {
+                begin(first, a)
+                repeat(4) { crash(first, a, one, host = 3) }
+                changeOwner(1)
+                crash(first, a, two, host = 2)
+            }
+        )
+    )
+
+    @Example
+    fun `a part under which different requests crash is blocked however often each came`() = check(
+        listOf(
+            Case("each once", setOf(a)) { listOf(one, two, three).forEach { crash(first, a, it) } },
+            Case("each twice", setOf(a)) {
+                listOf(one, two, three).forEach { request -> repeat(2) { crash(a, request) } }
+            },
+            Case("each three times", setOf(a, one)) {
+                listOf(one, two, three).forEach { request -> repeat(3) { crash(a, request) } }
+            },
+            Case("a part that had begun, each twice", setOf(a)) {
+                begin(a)
+                listOf(one, two, three).forEach { request -> repeat(2) { crash(a, request) } }
+            },
+            Case("a deadly request beside a deadly part", setOf(a, three)) {
+                repeat(3) {
+                    crash(first, a, "request:1$it", host = 1)
+                    crash(first, three, host = 2)
+                    begin(first)
+                }
             }
         )
     )
--- a/gateway/forwarding/src/test/kotlin/org/hyssoprack/gateway/forwarding/parts/CrashingRequestFleetTest.kt
+++ b/gateway/forwarding/src/test/kotlin/org/hyssoprack/gateway/forwarding/parts/CrashingRequestFleetTest.kt
@@ -38,10 +38,11 @@
         }
 
     @Example
-    fun `sound requests with the same parts are served`() =
+    fun `sound requests with the same parts are served, and none of the parts is blamed`() =
         assertAll {
             for ((name, fleet) in plays) {
                 assertThat(fleet.servedShare, name).isGreaterThanOrEqualTo(0.95)
+                assertThat(fleet.blockingHosts, name).isEqualTo(0)
             }
         }
 
