--- a/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/RequestForwarder.kt
+++ b/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/RequestForwarder.kt
@@ -152,7 +152,7 @@
         relay = relay,
         statusHandler = statusHandler,
         search = search,
-        parts = pools.parts.registry
+        evidence = CrashEvidence(pools.parts.registry, request, granted.call, progress)
     )
 
     private fun mayFailOver(call: AdmittedRequest, progress: RequestProgress): Boolean =
--- a/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/ServerAttempt.kt
+++ b/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/ServerAttempt.kt
@@ -8,7 +8,6 @@
 import java.io.ByteArrayOutputStream
 import kotlinx.coroutines.withTimeoutOrNull
 import org.hyssoprack.common.Clock
-import org.hyssoprack.common.PromptPartId
 import org.hyssoprack.gateway.CallerRequest
 import org.hyssoprack.gateway.DispatchMetadata
 import org.hyssoprack.gateway.ResponseMetadata
@@ -16,8 +15,6 @@
 import org.hyssoprack.gateway.ServerConnection
 import org.hyssoprack.gateway.ServerConnections
 import org.hyssoprack.gateway.WireFormat
-import org.hyssoprack.serving.limits.CrashingPartRegistry
-import org.hyssoprack.serving.limits.PartCrash
 import org.hyssoprack.serving.placement.SlotOutcome
 import org.hyssoprack.serving.placement.SlotResult
 
@@ -26,7 +23,7 @@
  *
  * @param statusHandler handles the status that the server reports in its responses.
  * @param search searches another server while this one makes no progress.
- * @param parts learns which parts of prompts crash servers, and which do not.
+ * @param evidence learns which requests crash servers, and which do not.
  */
 internal class ServerAttempt(
     private val wire: WireFormat,
@@ -38,7 +35,7 @@
     private val relay: StreamRelay,
     private val statusHandler: ServerStatusHandler,
     private val search: ReplacementSearch,
-    private val parts: CrashingPartRegistry
+    private val evidence: CrashEvidence
 ) {
     private val call = granted.call
     private val slot = granted.slot
@@ -71,7 +68,9 @@
     suspend fun run(): AttemptResult {
         try {
             val end = sendAndRelay()
-            if (end is AttemptResult.Broken && end.isConnectionLost && !hasBegun) recordCrash()
+            if (end is AttemptResult.Broken && end.isConnectionLost && !hasBegun) {
+                evidence.recordCrash(state.server)
+            }
             slot.release(resultOf(end).copy(isUnlimited = isUnlimited))
             if (end !is AttemptResult.Broken) return end
             return search.await()?.let { AttemptResult.Stalled(it, end.reason) } ?: end
@@ -243,22 +242,7 @@
         if (hasBegun) return
         hasBegun = true
         if (promptRead) slot.recordFirstEvent(elapsedMs)
-        val server = state.server
-        parts.recordBegun(server.service, server.version, begunParts())
-    }
-
-    // Requests without a large body are sent again without being the same call, such as status
-    // queries. That they began before tells them from one that crashes servers.
-    private fun begunParts(): List<PromptPartId> {
-        val isOwnPartNeeded = parts.size > 0 || request.body.size <= SMALL_BODY_BYTES
-        val shared = call.metadata.sharedParts
-        return if (isOwnPartNeeded) shared + progress.ownPart else shared
-    }
-
-    private fun recordCrash() {
-        val server = state.server
-        val suspects = call.metadata.sharedParts + progress.ownPart
-        parts.recordCrash(PartCrash(server.service, server.instance, server.version, suspects))
+        evidence.recordBegun(state.server)
     }
 
     /** Returns why a stream that still sends bytes is aborted, or null if it continues. */
@@ -404,8 +388,6 @@
         const val MAX_EVENT_BYTES = 1_048_576
         const val MAX_RESPONSE_BYTES = 4_194_304
 
-        const val SMALL_BODY_BYTES = 1_024
-
         // Margin before the server's idle timeout: whether a request runs that is sent while the
         // server closes the connection is unknown.
         const val IDLE_MARGIN_MS = 800L
