Do not take a request that is sent again after each crash for their cause

A sound request that hosts send on after each crash can be at three crashed servers of a fleet that goes down. A report of a neighbour that came some milliseconds before that of the deadly request blocked a shared part for that long.

The crashes of a blocked request keep speaking against the parts beside it, which the rule for different requests covers; a part or request that is blocked for all of another request's crashes and more ends that one's block; and a shared part is not blocked while a report of the one request that would explain it may still come (100 ms).

--- a/core/serving/src/main/kotlin/org/hyssoprack/serving/limits/BlockDecisions.kt
+++ b/core/serving/src/main/kotlin/org/hyssoprack/serving/limits/BlockDecisions.kt
@@ -27,8 +27,10 @@
     }
 
     /** A part that many requests share may be the only suspect until all hosts have reported. */
-    private fun isTooEarly(incident: CrashIncident, chosen: Suspect, nowMs: Long): Boolean =
-        rule.hasBegun(chosen) && nowMs - incident.seenMs < REPORTING_MS
+    private fun isTooEarly(incident: CrashIncident, chosen: Suspect, nowMs: Long): Boolean {
+        if (nowMs - incident.seenMs >= REPORTING_MS) return false
+        return rule.hasBegun(chosen) || rule.isExplainedByOneRequest(chosen, incident.server)
+    }
 
     private fun explainAgain(incident: CrashIncident, own: Suspect) {
         table.explainAll(own)
--- a/core/serving/src/main/kotlin/org/hyssoprack/serving/limits/BlockRule.kt
+++ b/core/serving/src/main/kotlin/org/hyssoprack/serving/limits/BlockRule.kt
@@ -1,5 +1,7 @@
 package org.hyssoprack.serving.limits
 
+import org.hyssoprack.serving.fleet.ServerInstance
+
 /**
  * Chooses the part that is blocked for a crash. A part that never had a first event needs fewer
  * crashes than one that had. Crashes at about the same time have a common cause elsewhere, so they
@@ -9,11 +11,11 @@
  * crashed servers, since that request is the likelier cause then.
  *
  * @param crashesOfOneRequest returns how many crashes that speak against a part are those of one
- *   request, of the one that was at most of them.
+ *   request, of the one that was at most of them, or may have been at a server that is reported on.
  */
 internal class BlockRule(
     val hasBegun: (Suspect) -> Boolean,
-    private val crashesOfOneRequest: (Suspect) -> Int = { 0 }
+    private val crashesOfOneRequest: (Suspect, ServerInstance?) -> Int
 ) {
     /** Returns the part to block among [suspects], or null if there is none. */
     fun choose(suspects: List<Suspect>): Suspect? = suspects.filter { isDue(it) }.maxWithOrNull(
@@ -29,11 +31,15 @@
         return extentMs >= minExtentMs(suspect, hasBegun)
     }
 
-    /** Returns whether one request was at all but a few of the servers that crashed with the part. */
-    fun isExplainedByOneRequest(suspect: Suspect): Boolean {
+    /**
+     * Returns whether one request was at all but a few of the servers that crashed with the part.
+     *
+     * @param reporting server for which reports of other requests may be missing.
+     */
+    fun isExplainedByOneRequest(suspect: Suspect, reporting: ServerInstance? = null): Boolean {
         if (suspect.key.part.isOwnPart) return false
         val minOthers = if (hasBegun(suspect)) MIN_OTHERS_BEGUN else MIN_OTHERS
-        return suspect.evidence.size - crashesOfOneRequest(suspect) < minOthers
+        return suspect.evidence.size - crashesOfOneRequest(suspect, reporting) < minOthers
     }
 
     private fun minExtentMs(suspect: Suspect, hasBegun: Boolean): Long = when {
--- a/core/serving/src/main/kotlin/org/hyssoprack/serving/limits/SuspectTable.kt
+++ b/core/serving/src/main/kotlin/org/hyssoprack/serving/limits/SuspectTable.kt
@@ -2,6 +2,7 @@
 
 import org.hyssoprack.common.PromptPartId
 import org.hyssoprack.common.ServiceId
+import org.hyssoprack.serving.fleet.ServerInstance
 
 /** The suspected and the blocked parts, and which crashes the blocked ones explain. */
 internal class SuspectTable(private val incidents: CrashIncidents, private val log: PartLog) {
@@ -35,12 +36,16 @@
     /**
      * Returns how many of the crashes that speak against [suspect] are those of one request, of the
      * one that was at most of them.
+     *
+     * @param reporting server for which reports of other requests may be missing; counted as a
+     *   crash of the request.
      */
-    fun crashesOfOneRequest(suspect: Suspect): Int {
+    fun crashesOfOneRequest(suspect: Suspect, reporting: ServerInstance? = null): Int {
         val servers = suspect.evidenceServers
         return suspects.values
             .filter { it.key.part.isOwnPart && it.key.isBesides(suspect.key) }
-            .maxOfOrNull { request -> servers.count { it in request.crashes } } ?: 0
+            .maxOfOrNull { request -> servers.count { it in request.crashes || it == reporting } }
+            ?: 0
     }
 
     /** Blocks [suspect] from [blockedMs] on, which then explains the crashes with it. */
@@ -52,6 +57,14 @@
         refreshBlocked()
         explainAll(suspect)
         log.change("blocked", suspect, nowMs)
+        outdoneBy(suspect).forEach { unblock(it, nowMs) }
+    }
+
+    /** Returns the blocked requests whose crashes are all, and not the only ones, of [cause]. */
+    private fun outdoneBy(cause: Suspect): List<Suspect> = blocked.filter {
+        it !== cause && it.key.part.isOwnPart && it.key.isBesides(cause.key) &&
+            it.crashes.size < cause.crashes.size &&
+            cause.crashes.keys.containsAll(it.crashes.keys)
     }
 
     /** Ends the block of [suspect]. */
@@ -66,14 +79,18 @@
         refreshBlocked()
     }
 
-    /** Records that the blocked [cause] explains [incident], so that no other part is to blame. */
+    /**
+     * Records that the blocked [cause] explains [incident], so that no other part is to blame. A
+     * request explains nothing for good, as one that is sent again after each crash is at several
+     * crashed servers whatever their cause is.
+     */
     fun explain(incident: CrashIncident, cause: Suspect) {
         val beside = incident.partsBeside(cause.key)
         for (key in incident.keys) {
             val crash = suspects[key]?.takeIf { !it.isBlocked }?.crashes?.get(incident.server)
             if (crash == null) continue
             if (crash.explainedBy == null) crash.explainedBy = cause.key.part
-            if (key in beside) crash.isTogether = true
+            if (key in beside || cause.key.part.isOwnPart) crash.isTogether = true
         }
     }
 
