Simplify what a newcomer would stumble over in the eras and the block rule

Each message between readers and hosts has an era, so it is heard in one place; the descriptions of the rule for different requests say what is counted. No change of behaviour; the tests of both matters pass.

--- a/core/serving/src/main/kotlin/org/hyssoprack/serving/fleet/ServerRegistry.kt
+++ b/core/serving/src/main/kotlin/org/hyssoprack/serving/fleet/ServerRegistry.kt
@@ -92,12 +92,7 @@
             known == null && listed.instance in gone -> holdBack(listed)
             known == null -> put(listed)
             isOlder(listed, known) -> lapsed[listed.id] = clock.nowMs() + lapseGraceMs()
-            known.isSameInstance(listed) -> put(
-                listed.copy(
-                    isLeaving =
-                    listed.isLeaving || known.isLeaving
-                )
-            )
+            known.isLeaving && known.isSameInstance(listed) -> put(listed.copy(isLeaving = true))
             else -> put(listed)
         }
     }
--- a/core/serving/src/main/kotlin/org/hyssoprack/serving/limits/BlockRule.kt
+++ b/core/serving/src/main/kotlin/org/hyssoprack/serving/limits/BlockRule.kt
@@ -7,11 +7,12 @@
  * crashes than one that had. Crashes at about the same time have a common cause elsewhere, so they
  * must extend over a time.
  *
- * A part that several requests share is blocked only if no single request was at most of the
- * crashed servers, since that request is the likelier cause then.
+ * A part that several requests share is blocked for crashes of different requests only. If one and
+ * the same request was involved in nearly all of them, that request is the likelier cause.
  *
- * @param crashesOfOneRequest returns how many crashes that speak against a part are those of one
- *   request, of the one that was at most of them, or may have been at a server that is reported on.
+ * @param crashesOfOneRequest returns in how many of the crashes that speak against a part one and
+ *   the same request was involved, for the request with most of them. It is taken to be involved in
+ *   the crash of the given server, for which its report may be missing.
  */
 internal class BlockRule(
     val hasBegun: (Suspect) -> Boolean,
@@ -32,9 +33,9 @@
     }
 
     /**
-     * Returns whether one request was at all but a few of the servers that crashed with the part.
+     * Returns whether one and the same request was involved in nearly all crashes with the part.
      *
-     * @param reporting server for which reports of other requests may be missing.
+     * @param reporting server for which the report of that request may be missing.
      */
     fun isExplainedByOneRequest(suspect: Suspect, reporting: ServerInstance? = null): Boolean {
         if (suspect.key.part.isOwnPart) return false
--- a/core/serving/src/main/kotlin/org/hyssoprack/serving/limits/SuspectTable.kt
+++ b/core/serving/src/main/kotlin/org/hyssoprack/serving/limits/SuspectTable.kt
@@ -34,11 +34,11 @@
         blocked.filter { it.key.service == service && it.key.part in parts }
 
     /**
-     * Returns how many of the crashes that speak against [suspect] are those of one request, of the
-     * one that was at most of them.
+     * Returns in how many of the crashes that speak against [suspect] one and the same request was
+     * involved, for the request with most of them.
      *
-     * @param reporting server for which reports of other requests may be missing; counted as a
-     *   crash of the request.
+     * @param reporting server for which the report of that request may be missing; it is taken to
+     *   be involved in that crash.
      */
     fun crashesOfOneRequest(suspect: Suspect, reporting: ServerInstance? = null): Int {
         val servers = suspect.evidenceServers
@@ -60,7 +60,7 @@
         outdoneBy(suspect).forEach { unblock(it, nowMs) }
     }
 
-    /** Returns the blocked requests whose crashes are all, and not the only ones, of [cause]. */
+    /** Returns the blocked requests whose crashes [cause] explains all, with others besides. */
     private fun outdoneBy(cause: Suspect): List<Suspect> = blocked.filter {
         it !== cause && it.key.part.isOwnPart && it.key.isBesides(cause.key) &&
             it.crashes.size < cause.crashes.size &&
--- a/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/feeds/FeedMessage.kt
+++ b/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/feeds/FeedMessage.kt
@@ -15,6 +15,9 @@
  */
 @Serializable
 sealed interface FeedMessage : HostMessage {
+    /** Era of the store that the sender knows; null if the store names none or the sender does not. */
+    val era: StoreEra?
+
     /**
      * Requests the changes of [table] since [revision].
      *
@@ -30,7 +33,7 @@
         @SerialName("t") val table: String,
         @SerialName("r") val revision: Long? = null,
         @SerialName("w") val waitMs: Long,
-        @SerialName("e") val era: StoreEra? = null
+        @SerialName("e") override val era: StoreEra? = null
     ) : FeedMessage {
         /** Position that the sender has; null requests the whole table. */
         val position: StorePosition? get() = revision?.let { StorePosition(it, era) }
@@ -52,7 +55,7 @@
         @SerialName("a") val ageMs: Long,
         @SerialName("r") val rows: List<SharedRow> = emptyList(),
         @SerialName("b") val sinceStoreRecoveryMs: Long? = null,
-        @SerialName("e") val era: StoreEra? = null
+        @SerialName("e") override val era: StoreEra? = null
     ) : FeedMessage {
         val position: StorePosition get() = StorePosition(revision, era)
     }
@@ -66,7 +69,7 @@
     @SerialName("fu")
     data class Unavailable(
         @SerialName("n") val number: Long,
-        @SerialName("e") val era: StoreEra? = null
+        @SerialName("e") override val era: StoreEra? = null
     ) : FeedMessage
 }
 
--- a/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/feeds/SharedFeeds.kt
+++ b/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/feeds/SharedFeeds.kt
@@ -35,21 +35,11 @@
 
     /** Handles a message from another host. */
     fun receive(from: HostRef, message: FeedMessage) {
+        knownEra.heard(message.era)
         when (message) {
-            is FeedMessage.Request -> {
-                knownEra.heard(message.era)
-                answer(from.host, message)
-            }
-
-            is FeedMessage.Rows -> {
-                knownEra.heard(message.era)
-                pending[message.number]?.complete(message)
-            }
-
-            is FeedMessage.Unavailable -> {
-                knownEra.heard(message.era)
-                pending[message.number]?.complete(message)
-            }
+            is FeedMessage.Request -> answer(from.host, message)
+            is FeedMessage.Rows -> pending[message.number]?.complete(message)
+            is FeedMessage.Unavailable -> pending[message.number]?.complete(message)
         }
     }
 
