Count a quota as used up if its record is older than a restore of the store

After a restart of all hosts while the store was restored, the record of an account was some seconds old; one older than a window was taken for little use. An account that had used its quota right before could use two thirds of it again at once: 881 in a window in which 880 are allowed, and more after that (RestoredQuotaTest, at the first excess).

A record names the era of its write. If the store is in a later one, later records may be lost, and the whole quota counts as used for the first window after the start. The host that keeps the ledger writes each record that it knows again when the era rises, idle accounts' too, so that this holds only for restarts in that gap. New fields of a record are ignored from this build on.

RestoredQuotaTest failed before, passes now, and asks that an idle account is not taken for used up.

--- a/core/serving/src/main/kotlin/org/hyssoprack/serving/limits/QuotaLedger.kt
+++ b/core/serving/src/main/kotlin/org/hyssoprack/serving/limits/QuotaLedger.kt
@@ -100,7 +100,7 @@
     fun restore(records: Map<ClientAccount, RecordedUsage>) {
         isRestored = true
         records.forEach { (name, record) ->
-            unrecorded[name] = unrecordedShare(record.ageMs)
+            unrecorded[name] = unrecordedShare(record)
             usageOf(name).restore(record.slices)
         }
     }
@@ -144,8 +144,10 @@
         return counted + quota(account) * share
     }
 
-    /** Returns the share of a quota that may have been used since a record that is [ageMs] old. */
-    private fun unrecordedShare(ageMs: Long): Double {
+    /** Returns the share of a quota that may have been used since [record]; all if that is lost. */
+    private fun unrecordedShare(record: RecordedUsage): Double {
+        if (record.isOutdated) return 1.0
+        val ageMs = record.ageMs
         if (ageMs !in 0 until windowMs) return RECORD_FLOOR + RECORD_STEP
         val sinceShare = (ageMs - RESTART_MS).toDouble() / windowMs
         return maxOf(RECORD_STEP, sinceShare)
--- a/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/QuotaRecorder.kt
+++ b/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/QuotaRecorder.kt
@@ -16,6 +16,7 @@
 import org.hyssoprack.serving.settings.Account
 import org.hyssoprack.store.Row
 import org.hyssoprack.store.RowKey
+import org.hyssoprack.store.StoreEra
 import org.hyssoprack.store.TableService
 import org.hyssoprack.store.WriteResult
 
@@ -25,16 +26,20 @@
  * is measured in usage, not in how full the window is, since at the limit the window stays full.
  *
  * @param isLedgerOwner whether this host keeps the ledger now.
+ * @param era the store's era as far as this host knows; null if it names none.
  */
 class QuotaRecorder(
     private val table: TableService,
     private val ledger: QuotaLedger,
     private val isLedgerOwner: () -> Boolean,
     private val clock: Clock,
-    private val log: EventLog
+    private val log: EventLog,
+    private val era: () -> StoreEra? = { null }
 ) {
+    private val format = Json { ignoreUnknownKeys = true }
     private val written = HashMap<ClientAccount, WrittenUsage>()
     private val writing = HashSet<ClientAccount>()
+    private val outdated = HashSet<ClientAccount>()
     private var restores = 0
 
     private class WrittenUsage(val revision: Long, val counted: Double, val ms: Long)
@@ -57,6 +62,7 @@
      */
     fun storeRestored() {
         restores++
+        outdated += written.keys
         written.clear()
     }
 
@@ -71,6 +77,7 @@
 
     private fun isDue(account: Account): Boolean {
         if (account.name in writing) return false
+        if (account.name in outdated) return true
         if (ledger.usedShare(account) < QuotaLedger.RECORD_FLOOR) return false
         val last = written[account.name] ?: return true
         val ageMs = clock.nowMs() - last.ms
@@ -81,7 +88,7 @@
     private suspend fun write(account: Account) {
         try {
             val counted = ledger.countedShare(account)
-            val text = Json.encodeToString(QuotaRecord.serializer(), recordOf(account.name))
+            val text = format.encodeToString(QuotaRecord.serializer(), recordOf(account.name))
             val key = RowKey(TABLE, account.name.value)
             val expected = written[account.name]?.revision ?: 0
             val restoresBefore = restores
@@ -93,6 +100,7 @@
             // After a conflict the row holds another host's record, so any further usage is
             // written.
             val isOwnRecord = result is WriteResult.Applied
+            if (isOwnRecord) outdated -= account.name
             written[account.name] =
                 WrittenUsage(revision, if (isOwnRecord) counted else NEVER, clock.nowMs())
         } finally {
@@ -116,21 +124,31 @@
     private fun recordOf(account: ClientAccount): QuotaRecord {
         val shiftMs = clock.epochMs() - clock.nowMs()
         val slices = ledger.slices(account).map { it.copy(startMs = it.startMs + shiftMs) }
-        return QuotaRecord(slices = slices, writtenMs = clock.epochMs())
+        return QuotaRecord(slices = slices, writtenMs = clock.epochMs(), era = era())
     }
 
     private fun usageOf(row: Row): Pair<ClientAccount, RecordedUsage>? {
         val shiftMs = clock.epochMs() - clock.nowMs()
         val record = Either.catchOrThrow<SerializationException, QuotaRecord> {
-            Json.decodeFromString(QuotaRecord.serializer(), row.value)
+            format.decodeFromString(QuotaRecord.serializer(), row.value)
         }.onLeft { log.event("quota-record-unreadable", "row" eq row.key.key) }.getOrNull()
         if (record == null) return null
         val slices = record.slices.map { it.copy(startMs = it.startMs - shiftMs) }
-        val usage = RecordedUsage(slices = slices, ageMs = clock.epochMs() - record.writtenMs)
+        val usage = RecordedUsage(
+            slices = slices,
+            ageMs = clock.epochMs() - record.writtenMs,
+            isOutdated = isOlderThanStore(record.era)
+        )
         written[ClientAccount(row.key.key)] = WrittenUsage(row.revision, NEVER, clock.nowMs())
         return ClientAccount(row.key.key) to usage
     }
 
+    /** Returns whether the store was restored since the write, so that later writes may be lost. */
+    private fun isOlderThanStore(written: StoreEra?): Boolean {
+        val now = era()
+        return written != null && now != null && written < now
+    }
+
     private companion object {
         const val TABLE = "quota"
         const val RETRY_MS = 200L
--- a/store/api/src/main/kotlin/org/hyssoprack/store/KnownEra.kt
+++ b/store/api/src/main/kotlin/org/hyssoprack/store/KnownEra.kt
@@ -7,7 +7,9 @@
  * @param onRestored called when the era rises; not for the first one.
  */
 class KnownEra(private val onRestored: () -> Unit = {}) {
-    private var newest: StoreEra? = null
+    /** The newest era; null if none was named. */
+    var newest: StoreEra? = null
+        private set
 
     /** Records that the store or a host named [era]; null if it named none. */
     fun heard(era: StoreEra?) {
