--- a/core/serving/src/main/kotlin/org/hyssoprack/serving/limits/SuspectTable.kt
+++ b/core/serving/src/main/kotlin/org/hyssoprack/serving/limits/SuspectTable.kt
@@ -62,7 +62,9 @@
 
     /** Returns the blocked requests whose crashes [cause] explains all, with others besides. */
     private fun outdoneBy(cause: Suspect): List<Suspect> = blocked.filter {
-        it !== cause && it.key.part.isOwnPart && it.key.isBesides(cause.key) &&
+        it !== cause &&
+            it.key.part.isOwnPart &&
+            it.key.isBesides(cause.key) &&
             it.crashes.size < cause.crashes.size &&
             cause.crashes.keys.containsAll(it.crashes.keys)
     }
