Let hosts without a slot owner tell each other of crashes

Callers whose request has a part that crashes servers had it sent on by hosts that tell no owner what they see, since each of them counted only its own crashes.

Cause: what a host sees went to the slot owner only. Where none counts, no host had enough crashes, and since each also waited 100 ms for reports that could not come.

The message is a Report with isLast, an old form that hosts of older builds take for what it says; the owner gets none.

Its stand-in for an older owner took the parts out of all reports; it leaves those between hosts of this build alone now. CrashingPartRegistryTest stated that a host without an owner does not know the crashes of another; it now asks that it does.

--- a/core/serving/src/main/kotlin/org/hyssoprack/serving/limits/BegunNews.kt
+++ b/core/serving/src/main/kotlin/org/hyssoprack/serving/limits/BegunNews.kt
@@ -1,8 +1,9 @@
 package org.hyssoprack.serving.limits
 
-/** First events that clear parts which the slot owner suspects. */
+/** First events that clear parts which the slot owner or the peers suspect. */
 internal class BegunNews {
     private val begunMs = LinkedHashMap<PartKey, Long>()
+    private val untakenForPeers = HashSet<PartKey>()
 
     /** Whether parts were added since the last call of [take]. */
     var isNew = false
@@ -11,14 +12,24 @@
     /** Adds a first event at [ms]. */
     fun add(key: PartKey, ms: Long) {
         if (begunMs.put(key, ms) == null) isNew = true
-        if (begunMs.size > MAX_PARTS) begunMs.remove(begunMs.keys.first())
+        untakenForPeers += key
+        if (begunMs.size > MAX_PARTS) drop(begunMs.keys.first())
     }
 
+    operator fun contains(key: PartKey): Boolean = key in begunMs
+
     fun take(nowMs: Long): List<PartBegun> {
         isNew = false
-        return begunMs.map { (key, ms) ->
-            PartBegun(key.service, key.version, key.part, ageMs = nowMs - ms)
+        return begunMs.map { (key, ms) -> partBegun(key, ms, nowMs) }
+    }
+
+    /** Returns the first events that were added since the last call. */
+    fun takeForPeers(nowMs: Long): List<PartBegun> {
+        val taken = untakenForPeers.mapNotNull { key ->
+            begunMs[key]?.let { partBegun(key, it, nowMs) }
         }
+        untakenForPeers.clear()
+        return taken
     }
 
     /** Drops the parts of which the [list] of the slot owner shows that it knows enough. */
@@ -28,8 +39,17 @@
             val record = listed[key]
             record == null || record.hasBegun && ms <= nowMs - record.lastAgeMs
         }
+        untakenForPeers.retainAll(begunMs.keys)
     }
 
+    private fun drop(key: PartKey) {
+        begunMs.remove(key)
+        untakenForPeers.remove(key)
+    }
+
+    private fun partBegun(key: PartKey, ms: Long, nowMs: Long) =
+        PartBegun(key.service, key.version, key.part, ageMs = nowMs - ms)
+
     private companion object {
         const val MAX_PARTS = 512
     }
--- a/core/serving/src/main/kotlin/org/hyssoprack/serving/limits/CrashingPartRegistry.kt
+++ b/core/serving/src/main/kotlin/org/hyssoprack/serving/limits/CrashingPartRegistry.kt
@@ -51,7 +51,9 @@
         val seenMs = nowMs - crash.ageMs
         table.forget(nowMs)
         if (crash.ageMs >= SuspectTable.CRASH_LIFETIME_MS) return
-        val parts = consideredParts(crash.parts).filter { part ->
+        val considered = consideredParts(crash.parts)
+        if (source != null && !owner.isFresh) addBegunNews(crash, considered)
+        val parts = considered.filter { part ->
             begun[PartKey(crash.service, crash.version, part)].let { it == null || it <= seenMs }
         }
         if (parts.isEmpty()) return
@@ -154,6 +156,19 @@
     /** Returns the first events seen here that clear parts which the slot owner suspects. */
     fun takeUnreportedBegun(): List<PartBegun> = news.take(clock.nowMs())
 
+    /**
+     * Returns the crashes and first events seen here that the other hosts have to know as well,
+     * while no slot owner counts for all of them.
+     */
+    fun takeForPeers(): PartReport {
+        if (owner.isFresh) return PartReport()
+        val nowMs = clock.nowMs()
+        return PartReport(
+            crashes = own.takeForPeers(owner.unconfirmedSinceMs, nowMs),
+            begun = news.takeForPeers(nowMs)
+        )
+    }
+
     /** Returns the blocked parts of requests that came here since the last call. */
     fun takeAsked(): List<PartAsked> {
         val nowMs = clock.nowMs()
@@ -195,6 +210,14 @@
     fun keepVersions(service: ServiceId, present: Set<String?>) =
         table.keepVersions(service, present, clock.nowMs())
 
+    private fun addBegunNews(crash: PartCrash, parts: List<PromptPartId>) {
+        for (part in parts) {
+            val key = PartKey(crash.service, crash.version, part)
+            val begunMs = begun[key] ?: continue
+            if (key !in news) news.add(key, begunMs)
+        }
+    }
+
     private fun follow(record: SuspectPart, nowMs: Long) {
         val begunMs = begun[record.key]
         val isCleared = !records.merge(record, owner.id, nowMs)
--- a/core/serving/src/main/kotlin/org/hyssoprack/serving/limits/OwnCrashes.kt
+++ b/core/serving/src/main/kotlin/org/hyssoprack/serving/limits/OwnCrashes.kt
@@ -2,10 +2,11 @@
 
 import org.hyssoprack.serving.fleet.ServerInstance
 
-/** Crashes that this host saw and that the slot owner may not know. */
+/** Crashes that this host saw and that the slot owner or its peers may not know. */
 internal class OwnCrashes {
     private class Entry(val crash: PartCrash, val seenMs: Long) {
         var isTaken = false
+        var isTakenForPeers = false
         var unlistedMs: Long? = null
     }
 
@@ -30,6 +31,17 @@
         }
     }
 
+    /**
+     * Returns the crashes from [sinceMs] on that were not taken for the peers before, with their
+     * age at [nowMs].
+     */
+    fun takeForPeers(sinceMs: Long, nowMs: Long): List<PartCrash> = entries.values
+        .filter { !it.isTakenForPeers && it.seenMs >= sinceMs }
+        .map {
+            it.isTakenForPeers = true
+            it.crash.copy(ageMs = nowMs - it.seenMs)
+        }
+
     /** Returns whether [server] crashed and the slot owner may not know that. */
     fun isUnreported(server: ServerInstance): Boolean =
         entries.values.any { it.crash.server == server }
--- a/core/serving/src/main/kotlin/org/hyssoprack/serving/limits/PartGate.kt
+++ b/core/serving/src/main/kotlin/org/hyssoprack/serving/limits/PartGate.kt
@@ -69,7 +69,10 @@
         suspects = if (isFirst) registry.records() else emptyList()
     ).takeUnless { it.isEmpty }
 
-    /** Applies the [report] of another host at the slot owner. */
+    /** Returns what the other hosts have to know, or null if there is nothing. */
+    fun takePeerReport(): PartReport? = registry.takeForPeers().takeUnless { it.isEmpty }
+
+    /** Applies the [report] of another host. */
     fun accept(report: PartReport, source: HostId) {
         if (report.suspects.isNotEmpty()) registry.adopt(report.suspects, source)
         report.begun.forEach { registry.recordBegun(it) }
--- a/core/serving/src/main/kotlin/org/hyssoprack/serving/limits/PartReport.kt
+++ b/core/serving/src/main/kotlin/org/hyssoprack/serving/limits/PartReport.kt
@@ -4,7 +4,8 @@
 import kotlinx.serialization.Serializable
 
 /**
- * What a host tells the slot owner about parts of prompts that may crash servers.
+ * What a host tells the slot owner, or the other hosts while there is none, about parts of prompts
+ * that may crash servers.
  *
  * @property crashes crashes that the owner may not know.
  * @property begun first events that clear parts which the owner suspects.
--- a/core/serving/src/test/kotlin/org/hyssoprack/serving/limits/CrashingPartFleet.kt
+++ b/core/serving/src/test/kotlin/org/hyssoprack/serving/limits/CrashingPartFleet.kt
@@ -78,7 +78,7 @@
     }
 
     private fun deliver() {
-        val owner = owner ?: return
+        val owner = owner ?: return exchange()
         val isStatusDue = clock.nowMs() - statusMs >= STATUS_MS
         registries.forEachIndexed { index, registry ->
             if (index == owner || !registry.hasNews && !isStatusDue) return@forEachIndexed
@@ -87,6 +87,15 @@
         if (isStatusDue || registries[owner].changes != toldChanges) broadcast()
     }
 
+    /** Tells all hosts what each of them has seen, as they do without a slot owner. */
+    private fun exchange() = registries.forEachIndexed { index, registry ->
+        val news = registry.takeForPeers()
+        registries.filter { it !== registry }.forEach { peer ->
+            news.begun.forEach { peer.recordBegun(it) }
+            news.crashes.forEach { peer.recordCrash(it, hostId(index)) }
+        }
+    }
+
     private fun report(registry: CrashingPartRegistry, index: Int, target: CrashingPartRegistry) {
         registry.takeUnreported().forEach { target.recordCrash(it, hostId(index)) }
         registry.takeUnreportedBegun().forEach { target.recordBegun(it) }
--- a/core/serving/src/test/kotlin/org/hyssoprack/serving/limits/CrashingPartRegistryTest.kt
+++ b/core/serving/src/test/kotlin/org/hyssoprack/serving/limits/CrashingPartRegistryTest.kt
@@ -411,7 +411,7 @@
     }
 
     @Example
-    fun `a host without a responsive owner decides by itself`() {
+    fun `hosts without a responsive owner decide by themselves`() {
         fleet.crash(a, host = 1)
         repeat(3) { fleet.crash(d) }
         fleet.owner = null
@@ -422,7 +422,7 @@
         fleet.advance(2_000)
         assertThat(isBlocked(a, host = 1)).isTrue()
         assertThat(isBlocked(d, host = 1)).isTrue()
-        assertThat(isBlocked(a, host = 2)).isFalse()
+        assertThat(isBlocked(a, host = 2)).isTrue()
         fleet.advance(60_000)
         assertThat(fleet.verdict(a, host = 1)).isEqualTo(PartVerdict.Blocked(PromptPartId(a)))
         fleet.owner = 0
--- a/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/slots/ServingHosts.kt
+++ b/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/slots/ServingHosts.kt
@@ -82,6 +82,13 @@
     /** Returns the number of hosts that may be serving, this one included. */
     fun count(): Int = countedPeers().size + 1
 
+    /** Returns the other hosts that may be serving, in a ring that begins after this host. */
+    fun nextHosts(): List<HostId> {
+        val peers = countedPeers().map { it.ref.host }.sortedBy { it.value }
+        val (after, before) = peers.partition { it.value > self.host.value }
+        return after + before
+    }
+
     /** Returns this host's position among the hosts that may be serving. */
     fun position(): HostPosition {
         val now = view()
--- a/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/slots/SlotClient.kt
+++ b/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/slots/SlotClient.kt
@@ -30,6 +30,7 @@
  *   milliseconds.
  * @param markUnavailable called with an owner that cannot grant slots now, so that another one is
  *   chosen.
+ * @param peers the other hosts that may be serving.
  */
 class SlotClient internal constructor(
     private val self: HostRef,
@@ -41,8 +42,10 @@
     private val clock: Clock,
     private val log: EventLog,
     private val firstReplyMs: Long = FIRST_REPLY_MS,
+    peers: () -> List<HostId> = { emptyList() },
     private val send: (HostId, SlotMessage) -> Unit
 ) {
+    private val peerReports = PeerReports(self.host, pools.parts, peers, send)
     private val pending = HashMap<Long, PendingRequest>()
     private val running = HashMap<Long, Slot>()
     private var lastNumber = 0L
@@ -59,6 +62,7 @@
     suspend fun acquire(request: QueuedRequest, charge: QuotaCharge?): Either<Failure, Slot> {
         // The owner learns of a limit before it gets the next request.
         if (pools.limits.hasNews || pools.parts.registry.hasNews) tick()
+        peerReports.send(knownOwner)
         val owner = responsiveOwner() ?: return acquireLocally(request, charge)
         return requestFrom(owner, request, charge) ?: acquireLocally(request, charge)
     }
@@ -106,6 +110,7 @@
             pools.parts.registry.hasNews
         val isDue = nowMs - reportedMs >= REPORT_MS || hasNews
         if (owner != null && isDue) report(owner, isFirst = isNew)
+        peerReports.send(owner)
         if (statusMs.let { it != null && nowMs - it > STATUS_LIFETIME_MS }) {
             statusMs = null
             pools.clearPeerLoads()
--- a/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/slots/SlotMessage.kt
+++ b/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/slots/SlotMessage.kt
@@ -143,8 +143,8 @@
      * @property leaving server instances that announced their shutdown.
      * @property limits rate limits that servers named, as far as the owner may not know them; all in
      *   the first report to an owner.
-     * @property parts what the owner may not know of parts of prompts that may crash servers.
-     * @property isLast whether the sender uses another owner from now on.
+     * @property parts what the receiver may not know of parts of prompts that may crash servers.
+     * @property isLast whether the sender uses another owner, or none, from now on.
      */
     @Serializable
     @SerialName("st")
--- a/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/slots/SlotOwner.kt
+++ b/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/slots/SlotOwner.kt
@@ -59,7 +59,7 @@
 
     /** Handles a message from [from]. */
     fun receive(from: HostRef, message: SlotMessage) {
-        if (message is SlotMessage.Report && message.isLast) return reportsElsewhere(from)
+        if (message is SlotMessage.Report && message.isLast) return reportsElsewhere(from, message)
         val isNeeded = message is SlotMessage.Request || message is SlotMessage.Report
         if (isNeeded && !isReady()) return send(from.host, SlotMessage.NotReady)
         when (message) {
@@ -278,7 +278,8 @@
     }
 
     /** Stops counting a host as reporting; it stays present, and its slots stay in use. */
-    private fun reportsElsewhere(from: HostRef) {
+    private fun reportsElsewhere(from: HostRef, report: SlotMessage.Report) {
+        report.parts?.let { pools.parts.accept(it, from.host) }
         val client = clients[from] ?: return
         client.reportedMs = minOf(client.reportedMs ?: return, clock.nowMs() - FRESH_MS - 1)
     }
--- a/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/slots/SlotService.kt
+++ b/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/slots/SlotService.kt
@@ -38,6 +38,7 @@
         markUnavailable = hosts::markUnavailable,
         clock = clock,
         log = log,
+        peers = hosts::nextHosts,
         send = ::send
     )
 
--- a/gateway/forwarding/src/test/kotlin/org/hyssoprack/gateway/forwarding/parts/CrashingPartWithoutOwnerTest.kt
+++ b/gateway/forwarding/src/test/kotlin/org/hyssoprack/gateway/forwarding/parts/CrashingPartWithoutOwnerTest.kt
@@ -68,7 +68,8 @@
         fun withoutParts(message: SlotMessage): SlotMessage = when (message) {
             is SlotMessage.Request -> message.copy(suspectParts = emptyList())
             is SlotMessage.Granted -> message.copy(isTrial = false)
-            is SlotMessage.Report -> message.copy(parts = null)
+            // A last report goes to hosts other than the owner.
+            is SlotMessage.Report -> if (message.isLast) message else message.copy(parts = null)
             is SlotMessage.OwnerStatus -> message.copy(parts = null)
             else -> message
         }
