Leave a reader to which the store is silent before a change has to apply

Callers were refused with 401, or served by the settings of before, more than 2 s after a change was acknowledged (CONFIG): hosts that reach the store stayed with a host that reads it for them and did not.

Cause: a follower left a reader when its data were older than half of the time after which keys expire, 2,500 ms, and let it hold a request for another second. Both are longer than the time within which a change of the settings applies. The age could not have a lower bound, as it counts from the beginning of the reader's held call and reaches 2,000 ms at a sound reader.

A reply now also tells how long ago the store responded to the reader, at most a held call and a round trip at a sound one. Readers of older builds do not tell, and are treated as before.

--- a/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/feeds/FeedMessage.kt
+++ b/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/feeds/FeedMessage.kt
@@ -46,6 +46,8 @@
      * @property sinceStoreRecoveryMs time since the store recovered from an outage, in
      *   milliseconds; null if there was none.
      * @property era era of [revision]; null if the store names none, and from hosts of older builds.
+     * @property sinceResponseMs time since the store last responded to the reader, in milliseconds;
+     *   null from hosts of older builds.
      */
     @Serializable
     @SerialName("fr")
@@ -55,7 +57,8 @@
         @SerialName("a") val ageMs: Long,
         @SerialName("r") val rows: List<SharedRow> = emptyList(),
         @SerialName("b") val sinceStoreRecoveryMs: Long? = null,
-        @SerialName("e") override val era: StoreEra? = null
+        @SerialName("e") override val era: StoreEra? = null,
+        @SerialName("s") val sinceResponseMs: Long? = null
     ) : FeedMessage {
         val position: StorePosition get() = StorePosition(revision, era)
     }
--- a/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/feeds/SharedRowFeed.kt
+++ b/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/feeds/SharedRowFeed.kt
@@ -22,6 +22,8 @@
  * @param direct the store's own feed.
  * @param readers the readers in order of preference; empty if this host reads the store itself.
  * @param mostAgeMs age of a reader's data, in milliseconds, beyond which the store is read instead.
+ * @param mostSilenceMs time since the store last responded to a reader, in milliseconds, beyond
+ *   which the store is read instead.
  */
 class SharedRowFeed(
     private val table: String,
@@ -30,9 +32,11 @@
     private val readers: () -> List<HostId>,
     private val clock: Clock,
     private val log: EventLog,
-    private val mostAgeMs: Long
+    private val mostAgeMs: Long,
+    private val mostSilenceMs: Long
 ) : RowFeed {
     private val avoidUntilMs = HashMap<HostId, Long>()
+    private val silentAtMs = HashMap<HostId, Long>()
     private val knownEra = feeds.knownEra
 
     override suspend fun read(): Either<Failure, RowSnapshot> {
@@ -43,7 +47,8 @@
             reply.feedRows(),
             reply.position,
             reply.ageMs,
-            reply.sinceStoreRecoveryMs
+            reply.sinceStoreRecoveryMs,
+            reply.sinceResponseMs ?: reply.ageMs
         ).right()
     }
 
@@ -56,7 +61,8 @@
                 reply.feedRows(),
                 reply.position,
                 reply.ageMs,
-                reply.sinceStoreRecoveryMs
+                reply.sinceStoreRecoveryMs,
+                reply.sinceResponseMs ?: reply.ageMs
             ).right()
 
         is FeedMessage.Unavailable ->
@@ -73,28 +79,52 @@
         val nowMs = clock.nowMs()
         val reader = readers().firstOrNull { nowMs >= (avoidUntilMs[it] ?: Long.MIN_VALUE) }
             ?: return null
-        val answer = feeds.request(reader, table, position, waitMs)
+        val holdMs = holdMs(reader, waitMs)
+        val answer = feeds.request(reader, table, position, holdMs)
         val isUsable = when (answer) {
-            is FeedMessage.Rows ->
-                answer.ageMs <= mostAgeMs && !knownEra.isOutdated(answer.era)
+            is FeedMessage.Rows -> isFresh(answer) && !knownEra.isOutdated(answer.era)
 
             is FeedMessage.Unavailable ->
                 position != null && !knownEra.isOutdated(answer.era)
 
             else -> false
         }
-        if (isUsable) return answer
+        if (isUsable) {
+            if (answer is FeedMessage.Rows) recordResponse(reader, answer)
+            return answer
+        }
         log.event(
             "feed-reader-passed-over",
             "table" eq table,
             "reader" eq reader,
             "ageMs" eq (answer as? FeedMessage.Rows)?.ageMs,
+            "silenceMs" eq (answer as? FeedMessage.Rows)?.sinceResponseMs,
             "era" eq (answer as? FeedMessage.Rows)?.era
         )
         avoidUntilMs[reader] = clock.nowMs() + AVOID_MS
+        silentAtMs.remove(reader)
         return null
     }
 
+    private fun isFresh(answer: FeedMessage.Rows): Boolean =
+        answer.ageMs <= mostAgeMs && (answer.sinceResponseMs ?: 0) <= mostSilenceMs
+
+    private fun recordResponse(reader: HostId, answer: FeedMessage.Rows) {
+        // Hosts of older builds do not tell; their requests are held for the whole time.
+        silentAtMs[reader] = answer.sinceResponseMs
+            ?.let { clock.nowMs() - it + mostSilenceMs }
+            ?: Long.MAX_VALUE
+    }
+
+    /**
+     * Returns the time for which [reader] may hold a request: no longer than the store may be silent
+     * to it. A reader of which that is not known replies at once.
+     */
+    private fun holdMs(reader: HostId, waitMs: Long): Long {
+        val silentMs = silentAtMs[reader] ?: return 0
+        return (silentMs - clock.nowMs()).coerceIn(0, waitMs)
+    }
+
     private fun FeedMessage.Rows.feedRows(): List<FeedRow> = rows.map { FeedRow(it.key, it.value) }
 
     private companion object {
--- a/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/feeds/TableReplica.kt
+++ b/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/feeds/TableReplica.kt
@@ -16,6 +16,7 @@
     private var oldestRevision = 0L
     private var confirmed: ClockReading? = null
     private var storeRecoveredMs: Long? = null
+    private var storeRespondedMs: Long? = null
 
     private class Change(val revision: Long, val ms: Long, val rows: List<FeedRow>)
 
@@ -45,6 +46,11 @@
         confirmed = moment
     }
 
+    /** Records that the store responded [agoMs] milliseconds ago. */
+    fun storeResponded(agoMs: Long) {
+        storeRespondedMs = clock.nowMs() - agoMs
+    }
+
     /** Records that the store recovered [agoMs] milliseconds ago. */
     fun storeRecovered(agoMs: Long) {
         storeRecoveredMs = clock.nowMs() - agoMs
@@ -77,7 +83,8 @@
             ageMs = age,
             rows = reply,
             sinceStoreRecoveryMs = storeRecoveredMs?.let { clock.nowMs() - it },
-            era = current.era
+            era = current.era,
+            sinceResponseMs = storeRespondedMs?.let { clock.nowMs() - it }
         )
     }
 
--- a/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/feeds/TableReplicaUpdater.kt
+++ b/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/feeds/TableReplicaUpdater.kt
@@ -11,10 +11,14 @@
     private val replica = feeds.replica(table)
 
     override fun replaced(read: RowSnapshot) {
+        replica.storeResponded(read.sinceResponseMs)
         replica.replaceAll(read.rows, read.position)
     }
 
-    override fun changed(read: RowChanges) = replica.applyChanges(read.rows, read.position)
+    override fun changed(read: RowChanges) {
+        replica.storeResponded(read.sinceResponseMs)
+        replica.applyChanges(read.rows, read.position)
+    }
 
     override fun confirmed(moment: ClockReading) {
         replica.confirm(moment)
--- a/gateway/forwarding/src/test/kotlin/org/hyssoprack/gateway/forwarding/feeds/SharedRowFeedTest.kt
+++ b/gateway/forwarding/src/test/kotlin/org/hyssoprack/gateway/forwarding/feeds/SharedRowFeedTest.kt
@@ -88,7 +88,8 @@
             readers = { listOf(HostId("reader")) },
             clock = clock,
             log = NoOpEventLog,
-            mostAgeMs = 2_000
+            mostAgeMs = 2_000,
+            mostSilenceMs = 2_000
         )
 
         init {
--- a/store/api/src/main/kotlin/org/hyssoprack/store/RowChanges.kt
+++ b/store/api/src/main/kotlin/org/hyssoprack/store/RowChanges.kt
@@ -8,10 +8,13 @@
  *   that it had nothing newer, in milliseconds.
  * @property sinceStoreRecoveryMs time since the store became reachable again for the host that
  *   read it, in milliseconds; null if there was no outage.
+ * @property sinceResponseMs time since the store last responded to the host that read it, in
+ *   milliseconds.
  */
 data class RowChanges(
     val rows: List<FeedRow>,
     val position: StorePosition,
     val ageMs: Long = 0,
-    val sinceStoreRecoveryMs: Long? = null
+    val sinceStoreRecoveryMs: Long? = null,
+    val sinceResponseMs: Long = 0
 )
