--- a/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/QuotaRecorder.kt
+++ b/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/QuotaRecorder.kt
@@ -49,7 +49,9 @@
         while (true) {
             val rows = table.scan(TABLE, prefix = "")
             rows.onRight {
-                ledger.restore(it.mapNotNull(::usageOf).toMap())
+                val records = it.mapNotNull(::usageOf).toMap()
+                ledger.restore(records)
+                records.forEach(::logRestored)
                 return
             }
             delay(RETRY_MS)
@@ -121,6 +123,14 @@
         delay(RETRY_MS)
     }
 
+    private fun logRestored(account: ClientAccount, record: RecordedUsage) = log.event(
+        "quota-restored",
+        "account" eq account,
+        "used" eq record.slices.sumOf { it.amount }.toLong(),
+        "ageMs" eq record.ageMs,
+        "outdated" eq record.isOutdated
+    )
+
     private fun recordOf(account: ClientAccount): QuotaRecord {
         val shiftMs = clock.epochMs() - clock.nowMs()
         val slices = ledger.slices(account).map { it.copy(startMs = it.startMs + shiftMs) }
