Look for other hosts before registering, as the store may lose the write

Cause: a host read the directory only after it had registered, which it retries every 2 s. The rows of before the restart, with the same addresses, were there and not read.

The directory is read first, then as before. SwimMembershipTest: restarted hosts find each other while writes are lost; without the change they do not within 20 s.

A start costs one more read of the directory.

--- a/core/membership/src/main/kotlin/org/hyssoprack/membership/DirectoryTask.kt
+++ b/core/membership/src/main/kotlin/org/hyssoprack/membership/DirectoryTask.kt
@@ -17,11 +17,13 @@
     private val onSeeds: suspend (List<NetworkAddress>) -> Unit
 ) {
     /**
-     * Registers this run, then lists the seeds; retries each until it has succeeded, or has failed
-     * with LEASE_HELD. With this order, of two hosts that start at the same time, at least the one
-     * that registers last finds the other.
+     * Lists the seeds, registers this run and lists them again; retries the last two until each has
+     * succeeded, or has failed with LEASE_HELD. With this order, of two hosts that start at the same
+     * time, at least the one that registers last finds the other. The first list holds the hosts of
+     * before a restart, which have to find each other also while the directory loses writes.
      */
     suspend fun join() {
+        findSeeds().onLeft { logFailure("member-list-failed", it) }
         retryUntilDone("member-register-failed") { directory.register(self) }
         retryUntilDone("member-list-failed") { findSeeds() }
     }
@@ -40,12 +42,15 @@
     private suspend fun retryUntilDone(event: String, step: suspend () -> Either<Failure, Unit>) {
         while (true) {
             val failure = step().leftOrNull() ?: return
-            log.event(event, "host" eq self.ref, "failure" eq failure)
+            logFailure(event, failure)
             if (failure.code == ResultCode.LEASE_HELD) return
             delay(RETRY_DELAY_MS)
         }
     }
 
+    private fun logFailure(event: String, failure: Failure) =
+        log.event(event, "host" eq self.ref, "failure" eq failure)
+
     private companion object {
         const val RETRY_DELAY_MS = 2_000L
     }
--- a/core/membership/src/test/kotlin/org/hyssoprack/membership/FakeTable.kt
+++ b/core/membership/src/test/kotlin/org/hyssoprack/membership/FakeTable.kt
@@ -17,6 +17,7 @@
     val rows = ConcurrentSkipListMap<String, Row>()
     var isDown = false
     var losesReply = false
+    var losesWrites = false
     var writes = 0
     var writeDelayMs = 0L
 
@@ -31,6 +32,7 @@
     override suspend fun compareAndSet(key: RowKey, expected: Long, value: String): WriteResult {
         delay(writeDelayMs)
         if (isDown) return WriteResult.Refused(failure)
+        if (losesWrites) return WriteResult.Undecided(failure)
         val current = rows[key.key]
         if ((current?.revision ?: 0) != expected) return WriteResult.Conflict(current)
         writes++
--- a/core/membership/src/test/kotlin/org/hyssoprack/membership/SwimMembershipTest.kt
+++ b/core/membership/src/test/kotlin/org/hyssoprack/membership/SwimMembershipTest.kt
@@ -8,6 +8,7 @@
 import kotlinx.coroutines.Dispatchers
 import kotlinx.coroutines.Job
 import kotlinx.coroutines.cancel
+import kotlinx.coroutines.cancelChildren
 import kotlinx.coroutines.channels.Channel
 import kotlinx.coroutines.flow.first
 import kotlinx.coroutines.launch
@@ -63,6 +64,16 @@
         assertThat(table.rows.size).isEqualTo(4)
     }
 
+    @Example
+    fun `restarted hosts find each other by their rows from before while writes are lost`() {
+        val hosts = List(3) { start(it, seeds = emptyList()) }
+        assertThat(hosts.all { reaches(it) { view -> view.live().size == 3 } }).isTrue()
+        scope.coroutineContext.cancelChildren()
+        table.losesWrites = true
+        val restarted = List(3) { start(it, seeds = emptyList(), incarnation = 2) }
+        assertThat(restarted.all { reaches(it) { view -> view.live().size == 3 } }).isTrue()
+    }
+
     @Example
     fun `the announced status and the leaving state of a host reach its peers`() {
         val hosts = List(2) { start(it, seeds = listOf(SimulatedNetwork.address(0))) }
@@ -75,8 +86,12 @@
         assertThat(received).isTrue()
     }
 
-    private fun start(index: Int, seeds: List<NetworkAddress>): SwimMembership {
-        val member = SimulatedNetwork.member(index)
+    private fun start(
+        index: Int,
+        seeds: List<NetworkAddress>,
+        incarnation: Long = 1
+    ): SwimMembership {
+        val member = SimulatedNetwork.member(index, incarnation)
         val link = MemoryLink(member)
         links[member.linkAddress] = link
         val directory = TableMemberDirectory(table)
