Count registered hosts that a starting host has not heard of yet

Cause: the share counts the members that a host has heard of, not those that there are.

MemberView says how many registered hosts were not heard of. For one window of quotas after its own start a host counts them (ServingHosts); later such a host is gone. ServingHostsTest: the shares of nine hosts that see none of the others add up to 1, 9 before.

With rows of hosts that are gone for good, the first eight seconds after a start of the whole fleet grant less.

--- a/core/membership/src/main/kotlin/org/hyssoprack/membership/SwimMembership.kt
+++ b/core/membership/src/main/kotlin/org/hyssoprack/membership/SwimMembership.kt
@@ -15,6 +15,7 @@
 import org.hyssoprack.common.BundleVersion
 import org.hyssoprack.common.Clock
 import org.hyssoprack.common.EventLog
+import org.hyssoprack.common.HostId
 import org.hyssoprack.common.HostRef
 import org.hyssoprack.common.NetworkAddress
 import org.hyssoprack.common.NoOpEventLog
@@ -50,6 +51,9 @@
     private val restored = Channel<Unit>(Channel.CONFLATED)
     private val ownership = RendezvousOwnership()
     private val current = MutableStateFlow(table.view())
+    private var countedMembers: Map<HostId, Member>? = null
+    private var countedSeeds = 0
+    private var unseenHosts = 0
     private var nextTickMs = clock.nowMs()
     private var nextJoinMs = clock.nowMs()
 
@@ -104,10 +108,21 @@
             val command = nextCommand()
             if (command != null) handle(command)
             if (clock.nowMs() >= nextTickMs) tick()
-            current.value = table.view()
+            current.value = view()
         }
     }
 
+    private fun view(): MemberView {
+        val view = table.view()
+        if (view.members !== countedMembers || seeds.size != countedSeeds) {
+            countedMembers = view.members
+            countedSeeds = seeds.size
+            val known = view.members.values.mapTo(HashSet()) { it.linkAddress }
+            unseenHosts = seeds.count { it !in known }
+        }
+        return if (unseenHosts == 0) view else view.copy(unseenHosts = unseenHosts)
+    }
+
     @OptIn(ExperimentalCoroutinesApi::class)
     private suspend fun nextCommand(): MemberCommand? = select {
         commands.onReceive { it }
--- a/core/membership/src/test/kotlin/org/hyssoprack/membership/SwimMembershipTest.kt
+++ b/core/membership/src/test/kotlin/org/hyssoprack/membership/SwimMembershipTest.kt
@@ -70,8 +70,11 @@
         assertThat(hosts.all { reaches(it) { view -> view.live().size == 3 } }).isTrue()
         scope.coroutineContext.cancelChildren()
         table.losesWrites = true
-        val restarted = List(3) { start(it, seeds = emptyList(), incarnation = 2) }
+        val first = start(0, seeds = emptyList(), incarnation = 2)
+        assertThat(reaches(first) { view -> view.unseenHosts == 2 }).isTrue()
+        val restarted = List(2) { start(it + 1, seeds = emptyList(), incarnation = 2) } + first
         assertThat(restarted.all { reaches(it) { view -> view.live().size == 3 } }).isTrue()
+        assertThat(restarted.all { reaches(it) { view -> view.unseenHosts == 0 } }).isTrue()
     }
 
     @Example
--- a/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/slots/ServingHosts.kt
+++ b/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/slots/ServingHosts.kt
@@ -16,7 +16,8 @@
  * The serving hosts in this host's member view, and the choice of the slot owner among them.
  *
  * @param settleMs time after its start for which a host is not chosen if there is another one,
- *   since it lacks the quota usage from before its start.
+ *   since it lacks the quota usage from before its start, and for which it counts hosts that it
+ *   has not heard of yet.
  */
 class ServingHosts(
     private val self: HostRef,
@@ -80,7 +81,7 @@
     fun hostRefs(): Set<HostRef> = view().live().mapTo(hashSetOf(self)) { it.ref }
 
     /** Returns the number of hosts that may be serving, this one included. */
-    fun count(): Int = countedPeers().size + 1
+    fun count(): Int = countedPeers().size + 1 + unseenHosts()
 
     /** Returns the other hosts that may be serving, in a ring that begins after this host. */
     fun nextHosts(): List<HostId> {
@@ -107,7 +108,7 @@
      */
     fun shareOf(reporting: Set<HostId>): Double {
         val all = countedPeers().map { it.ref.host } + self.host
-        return all.count { it in reporting }.toDouble() / all.size
+        return all.count { it in reporting }.toDouble() / (all.size + unseenHosts())
     }
 
     /**
@@ -120,9 +121,19 @@
      */
     fun reportingShare(isReporting: (HostId) -> Boolean, isPresent: (HostId) -> Boolean): Double {
         val all = peers().map { it.ref.host } + self.host
+        val count = all.size + unseenHosts()
         val present = all.filter(isPresent)
-        val counted = if (present.size * 2 > all.size) present else all
-        return counted.count(isReporting).toDouble() / counted.size
+        if (present.size * 2 > count) return present.count(isReporting).toDouble() / present.size
+        return all.count(isReporting).toDouble() / count
+    }
+
+    /**
+     * Returns the number of registered hosts that this one may not have heard of yet since its own
+     * start. Later, a host that was never heard of is gone.
+     */
+    private fun unseenHosts(): Int {
+        val isSettled = clock.epochMs() - self.incarnation.value >= settleMs
+        return if (isSettled) 0 else view().unseenHosts
     }
 
     /**
--- a/gateway/forwarding/src/test/kotlin/org/hyssoprack/gateway/forwarding/slots/ServingHostsTest.kt
+++ b/gateway/forwarding/src/test/kotlin/org/hyssoprack/gateway/forwarding/slots/ServingHostsTest.kt
@@ -1,6 +1,7 @@
 package org.hyssoprack.gateway.forwarding.slots
 
 import assertk.assertThat
+import assertk.assertions.isCloseTo
 import assertk.assertions.isEqualTo
 import assertk.assertions.isNotEqualTo
 import net.jqwik.api.Example
@@ -70,6 +71,32 @@
         assertThat(first + second).isEqualTo(1.0)
     }
 
+    @Example
+    fun `a host that has just started counts registered hosts that it has not heard of`() {
+        class Case(val name: String, val startedMs: Long, val heardOf: Int, val share: Double)
+        val cases = listOf(
+            Case("just started, alone", startedMs = 99_000, heardOf = 0, share = 1.0 / 9),
+            Case("just started, some seen", startedMs = 99_000, heardOf = 3, share = 4.0 / 9),
+            Case("just started, most seen", startedMs = 99_000, heardOf = 5, share = 1.0),
+            Case("started long ago", startedMs = 1, heardOf = 3, share = 1.0)
+        )
+        for (case in cases) {
+            val self = member("self", 100, case.startedMs)
+            val members = List(case.heardOf) { member("m$it", 100) } + self
+            val hosts = hosts(self.ref, members, unseenHosts = 9 - members.size)
+            assertThat(hosts.reportingShare({ true }, { true }), case.name).isEqualTo(case.share)
+        }
+    }
+
+    @Example
+    fun `the shares of hosts that start at once and see none of the others add up to one`() {
+        val shares = (1..9).map {
+            val self = member("h$it", 100, startedMs = 99_000)
+            hosts(self.ref, listOf(self), unseenHosts = 8).shareOf(setOf(self.ref.host))
+        }
+        assertThat(shares.sum()).isCloseTo(1.0, delta = 1e-9)
+    }
+
     @Example
     fun `hosts with the same members have different positions, dead ones have none`() {
         val dead = member("c", 100).copy(state = MemberState.DEAD)
@@ -78,9 +105,12 @@
         assertThat(positions).isEqualTo(List(3) { HostPosition(index = it, count = 3) })
     }
 
-    private fun hosts(name: String, members: List<Member>): ServingHosts {
-        val view = MemberView(members.associateBy { it.ref.host })
-        return ServingHosts(HostRef(HostId(name), Incarnation(1)), { view }, clock, 8_000)
+    private fun hosts(name: String, members: List<Member>): ServingHosts =
+        hosts(HostRef(HostId(name), Incarnation(1)), members)
+
+    private fun hosts(self: HostRef, members: List<Member>, unseenHosts: Int = 0): ServingHosts {
+        val view = MemberView(members.associateBy { it.ref.host }, unseenHosts = unseenHosts)
+        return ServingHosts(self, { view }, clock, 8_000)
     }
 
     private fun member(name: String, capacity: Int, startedMs: Long = 1) = Member(
