Give hosts that start at once their share of what the record of a quota left

Cause: the usage from before the start, recorded or allowed for, is of all hosts, but was counted against one host's share of the limit. With a ninth of it the allowance of 35 % alone left nothing. The wait was computed for that share, too, though it is whole as soon as the hosts have met. The reports of hosts that started after the record was written were taken for the same usage as the record, so what hosts had granted alone was forgotten when they met.

A ledger admits its share of what the usage from before has left. Reports of hosts that started after the record count beside it. In the first window the wait is that for the whole limit.

QuotaLedgerTest: nine hosts start alone, meet, and use no more than the record left; before, they used 1,440 of 9,000 while alone instead of 7,000 or more.

--- a/core/serving/src/main/kotlin/org/hyssoprack/serving/limits/AccountUsage.kt
+++ b/core/serving/src/main/kotlin/org/hyssoprack/serving/limits/AccountUsage.kt
@@ -2,8 +2,8 @@
 
 /**
  * One account's usage in the window as counted by a [QuotaLedger]. Usage from before the ledger's
- * start comes from two sources that cover the same requests, the hosts' reports and the restored
- * records, so only the larger of the two counts.
+ * start comes from two sources that cover the same requests, the restored records and the reports
+ * of hosts that ran before the records were written, so only the larger of the two counts.
  */
 internal class AccountUsage(private val windowMs: Long) {
     /** Usage that this ledger admitted. */
@@ -11,10 +11,14 @@
 
     /** Usage that hosts reported beyond what this ledger had admitted for them. */
     val reported = SlidingWindowSum(windowMs)
+
+    /** The same of hosts that started after the restored records were written. */
+    val reportedSince = SlidingWindowSum(windowMs)
     private var restored = SlidingWindowSum(windowMs)
 
     /** Total usage counted since this ledger's start. */
-    val lifetimeTotal: Double get() = admitted.lifetimeTotal + reported.lifetimeTotal
+    val lifetimeTotal: Double
+        get() = admitted.lifetimeTotal + reported.lifetimeTotal + reportedSince.lifetimeTotal
 
     fun restore(slices: List<UsageSlice>) {
         restored = SlidingWindowSum(windowMs)
@@ -32,13 +36,21 @@
         )
     }
 
-    fun total(nowMs: Long): Double =
-        admitted.total(nowMs) + maxOf(reported.total(nowMs), restored.total(nowMs))
+    fun total(nowMs: Long): Double = counted(nowMs) + unreported(nowMs)
+
+    /** Returns the usage in the window that this ledger admitted or that hosts reported. */
+    fun counted(nowMs: Long): Double =
+        admitted.total(nowMs) + reported.total(nowMs) + reportedSince.total(nowMs)
+
+    /** Returns the restored usage in the window beyond what hosts have reported. */
+    fun unreported(nowMs: Long): Double =
+        (restored.total(nowMs) - reported.total(nowMs)).coerceAtLeast(0.0)
 
     /** Returns the usage in the window as time slices, oldest first. */
     fun slices(nowMs: Long): List<UsageSlice> {
         val earlier = if (reported.total(nowMs) >= restored.total(nowMs)) reported else restored
-        return (admitted.slices(nowMs) + earlier.slices(nowMs)).sortedBy { it.startMs }
+        return listOf(admitted, reportedSince, earlier).flatMap { it.slices(nowMs) }
+            .sortedBy { it.startMs }
     }
 
     private companion object {
--- a/core/serving/src/main/kotlin/org/hyssoprack/serving/limits/QuotaLedger.kt
+++ b/core/serving/src/main/kotlin/org/hyssoprack/serving/limits/QuotaLedger.kt
@@ -28,6 +28,7 @@
     private val startedMs = clock.nowMs()
     private val used = HashMap<ClientAccount, AccountUsage>()
     private val unrecorded = HashMap<ClientAccount, Double>()
+    private val recordedMs = HashMap<ClientAccount, Long>()
     private val byHost = HashMap<HostRef, HashMap<ClientAccount, SlidingWindowSum>>()
 
     /** Whether the usage from before this host's start has been loaded. */
@@ -40,7 +41,7 @@
      */
     fun admit(host: HostRef, account: Account, amount: Double): Boolean {
         if (account.ratePerS <= 0) return true
-        if (usageWithAllowance(account) + amount > limit(account)) return false
+        if (amount > available(account, reportingShare())) return false
         record(host, account.name, amount)
         return true
     }
@@ -60,7 +61,7 @@
         reported.forEach { (account, amount) ->
             val missing = amount - usageAt(host, account).total(nowMs)
             if (missing > 0) {
-                usageOf(account).reported.add(nowMs, missing)
+                reportedBy(host, account).add(nowMs, missing)
                 usageAt(host, account).add(nowMs, missing)
             }
         }
@@ -72,15 +73,20 @@
         byHost.values.removeIf { counts -> counts.values.all { it.total(nowMs) <= 0.0 } }
     }
 
-    /** Returns the time until [amount] may be admitted, in milliseconds. */
+    /**
+     * Returns the time until [amount] may be admitted, in milliseconds. The hosts that start at once
+     * with this one report to one ledger before long.
+     */
     fun waitMs(account: Account, amount: Double): Long {
-        val missing = usageWithAllowance(account) + amount - limit(account)
+        val share = if (isSettled(clock.nowMs())) reportingShare() else 1.0
+        val missing = amount - available(account, share)
         return (missing / account.ratePerS * MS_PER_S).toLong().coerceIn(0, windowMs)
     }
 
     /** Returns the state of the quota of [account], for error details. */
     fun describe(account: Account): String {
-        val used = usageWithAllowance(account).toLong()
+        val nowMs = clock.nowMs()
+        val used = (usageOf(account.name).total(nowMs) + allowance(account, nowMs)).toLong()
         val limit = limit(account).toLong()
         return "$used of $limit used, share of hosts reporting: ${reportingShare()}"
     }
@@ -101,6 +107,7 @@
         isRestored = true
         records.forEach { (name, record) ->
             unrecorded[name] = unrecordedShare(record)
+            recordedMs[name] = clock.epochMs() - record.ageMs
             usageOf(name).restore(record.slices)
         }
     }
@@ -129,19 +136,27 @@
         val tolerance = tolerance()
         val slack = if (account.unit == QuotaUnit.TOKENS) tolerance.slackTokens else 0.0
         val beyond = quota * tolerance.overage + slack
-        return (quota + beyond * USED_TOLERANCE) * reportingShare()
+        return quota + beyond * USED_TOLERANCE
     }
 
     /**
-     * Returns the usage in the window, plus the allowance for unrecorded usage before this host's
-     * start.
+     * Returns what may still be admitted for the hosts that report here: their [share] of what the
+     * usage from before this host's start, which is of all hosts, has left.
      */
-    private fun usageWithAllowance(account: Account): Double {
+    private fun available(account: Account, share: Double): Double {
         val nowMs = clock.nowMs()
-        val counted = usageOf(account.name).total(nowMs)
-        if (nowMs - startedMs >= windowMs) return counted
+        val usage = usageOf(account.name)
+        val left = limit(account) - usage.unreported(nowMs) - allowance(account, nowMs)
+        return left * share - usage.counted(nowMs)
+    }
+
+    private fun isSettled(nowMs: Long): Boolean = nowMs - startedMs >= windowMs
+
+    /** Returns the usage before this host's start that may not have been recorded. */
+    private fun allowance(account: Account, nowMs: Long): Double {
+        if (isSettled(nowMs)) return 0.0
         val share = unrecorded[account.name] ?: (RECORD_FLOOR + RECORD_STEP)
-        return counted + quota(account) * share
+        return quota(account) * share
     }
 
     /** Returns the share of a quota that may have been used since [record]; all if that is lost. */
@@ -159,6 +174,13 @@
         usageAt(host, account).add(nowMs, amount)
     }
 
+    /** Returns the usage that a report of [host] belongs to; an incarnation is the time of a start. */
+    private fun reportedBy(host: HostRef, account: ClientAccount): SlidingWindowSum {
+        val usage = usageOf(account)
+        val writtenMs = recordedMs[account] ?: return usage.reported
+        return if (host.incarnation.value > writtenMs) usage.reportedSince else usage.reported
+    }
+
     private fun usageAt(host: HostRef, account: ClientAccount): SlidingWindowSum =
         byHost.getOrPut(host) { HashMap() }.getOrPut(account) { SlidingWindowSum(windowMs) }
 
--- a/core/serving/src/test/kotlin/org/hyssoprack/serving/limits/QuotaLedgerTest.kt
+++ b/core/serving/src/test/kotlin/org/hyssoprack/serving/limits/QuotaLedgerTest.kt
@@ -4,6 +4,7 @@
 import assertk.assertions.isBetween
 import assertk.assertions.isEqualTo
 import assertk.assertions.isFalse
+import assertk.assertions.isGreaterThanOrEqualTo
 import assertk.assertions.isLessThanOrEqualTo
 import assertk.assertions.isTrue
 import net.jqwik.api.Example
@@ -141,7 +142,55 @@
         assertThat(ledger.usedShare(account)).isEqualTo(0.5)
     }
 
-    private fun admitAll(ledger: QuotaLedger): Double {
+    @Example
+    fun `hosts that restart at once use what the record left, before and after they meet`() {
+        class Case(val name: String, val recorded: Double, val least: Double)
+        val cases = listOf(
+            Case("nothing was used", recorded = 0.0, least = 7_000.0),
+            Case("a third was used", recorded = 3_000.0, least = 4_500.0),
+            Case("two thirds were used", recorded = 6_000.0, least = 1_500.0),
+            Case("all was used", recorded = 9_000.0, least = 0.0)
+        )
+        for (case in cases) {
+            val clock = ManualClock(100_000)
+            val record = RecordedUsage(listOf(UsageSlice(98_000, case.recorded)), ageMs = 1_500)
+            var isAlone = true
+            val ledgers = (1..HOSTS).associate {
+                val ledger =
+                    QuotaLedger(clock, { tolerance }) { if (isAlone) 1.0 / HOSTS else 1.0 }
+                ledger.restore(mapOf(account.name to record))
+                HostRef(HostId("h$it"), Incarnation(99_800)) to ledger
+            }
+            val alone = ledgers.mapValues { (host, ledger) -> admitAll(ledger, host) }
+            assertThat(alone.values.sum(), "${case.name}, alone").isGreaterThanOrEqualTo(case.least)
+            isAlone = false
+            val owner = ledgers.values.first()
+            alone.forEach { (host, used) -> owner.reconcile(host, mapOf(account.name to used)) }
+            val used = case.recorded + alone.values.sum() + admitAll(owner)
+            assertThat(used, case.name).isLessThanOrEqualTo(allowed)
+        }
+    }
+
+    @Example
+    fun `a caller is asked to come back when the other hosts have been met, or quota is free`() {
+        class Case(val name: String, val uptimeMs: Long, val recorded: Double, val isSoon: Boolean)
+        val cases = listOf(
+            Case("just started, quota left", uptimeMs = 500, recorded = 0.0, isSoon = true),
+            Case("just started, quota used", uptimeMs = 500, recorded = 9_000.0, isSoon = false),
+            Case("partitioned", uptimeMs = 20_000, recorded = 0.0, isSoon = false)
+        )
+        for (case in cases) {
+            val clock = ManualClock(100_000)
+            val ledger = QuotaLedger(clock, { tolerance }) { 1.0 / HOSTS }
+            val slices = listOf(UsageSlice(startMs = 99_000, amount = case.recorded))
+            ledger.restore(mapOf(account.name to RecordedUsage(slices, ageMs = 1_000)))
+            clock.advance(case.uptimeMs)
+            admitAll(ledger)
+            assertThat(ledger.waitMs(account, 500.0) == 0L, case.name).isEqualTo(case.isSoon)
+        }
+    }
+
+    private fun admitAll(ledger: QuotaLedger, host: HostRef = this.host): Double {
         var sum = 0.0
         while (ledger.admit(host, account, STEP)) sum += STEP
         return sum
@@ -149,5 +198,6 @@
 
     private companion object {
         const val STEP = 10.0
+        const val HOSTS = 9
     }
 }
