Let a starting host own slots as soon as it is ready

Cause: a host chose itself as the slot owner before it had settings, told itself that it was not ready, and passed itself over for 500 ms.

A host knows whether it is ready, so it is a candidate from that moment (ServingHosts). Other hosts ask as before. ServingHostsTest has the case.

--- a/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/slots/ServingHosts.kt
+++ b/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/slots/ServingHosts.kt
@@ -18,16 +18,19 @@
  * @param settleMs time after its start for which a host is not chosen if there is another one,
  *   since it lacks the quota usage from before its start, and for which it counts hosts that it
  *   has not heard of yet.
+ * @param isReady whether this host can grant slots.
  */
 class ServingHosts(
     private val self: HostRef,
     private val view: () -> MemberView,
     private val clock: Clock,
     private val settleMs: Long,
-    private val ownership: Ownership = RendezvousOwnership()
+    private val ownership: Ownership = RendezvousOwnership(),
+    private val isReady: () -> Boolean = { true }
 ) {
     private var ownerView: MemberView? = null
     private var ownerMs = 0L
+    private var wasReady = false
     private var owner: HostId? = null
 
     private var positionView: MemberView? = null
@@ -41,10 +44,13 @@
     fun owner(): HostId? {
         val now = view()
         val nowMs = clock.nowMs()
-        if (now === ownerView && nowMs - ownerMs < OWNER_LIFETIME_MS) return owner
+        val isReady = isReady()
+        val isCurrent = now === ownerView && isReady == wasReady
+        if (isCurrent && nowMs - ownerMs < OWNER_LIFETIME_MS) return owner
         unavailableUntilMs.values.removeIf { it <= nowMs }
         ownerView = now
         ownerMs = nowMs
+        wasReady = isReady
         owner = chooseOwner(now)
         return owner
     }
@@ -68,6 +74,7 @@
     private fun chooseOwner(now: MemberView): HostId? {
         val ready = now.members.values
             .filter { it.state == MemberState.ALIVE && it.ref.host !in unavailableUntilMs }
+            .filter { it.ref.host != self.host || wasReady }
         val settled = ready.filter { clock.epochMs() - it.ref.incarnation.value >= settleMs }
         val candidates = settled.ifEmpty { ready }
         val maxCapacity = candidates.maxOfOrNull { it.capacity } ?: return null
--- a/gateway/forwarding/src/test/kotlin/org/hyssoprack/gateway/forwarding/slots/ServingHostsTest.kt
+++ b/gateway/forwarding/src/test/kotlin/org/hyssoprack/gateway/forwarding/slots/ServingHostsTest.kt
@@ -56,6 +56,18 @@
         assertThat(hosts.owner()).isEqualTo(first)
     }
 
+    @Example
+    fun `a host that is alone owns the slots from the moment at which it is ready`() {
+        var isReady = false
+        val self = member("self", 100)
+        val view = MemberView(mapOf(self.ref.host to self))
+        val hosts = ServingHosts(self.ref, { view }, clock, 8_000, isReady = { isReady })
+        assertThat(hosts.owner()).isEqualTo(null)
+        clock.advance(150)
+        isReady = true
+        assertThat(hosts.owner()).isEqualTo(self.ref.host)
+    }
+
     @Example
     fun `a host that reports to another owner does not count itself as reporting to its own ledger`() {
         val hosts = hosts("self", listOf(member("self", 100), member("a", 100), member("b", 100)))
