Count what the ledger before told of once beside the reports of younger hosts

Cause: since the reports of hosts that started after the record count beside it. What a previous ledger had told was kept in the same sum as the record, though it covers these reports, too.

AccountUsage keeps the two apart.

--- a/core/serving/src/main/kotlin/org/hyssoprack/serving/limits/AccountUsage.kt
+++ b/core/serving/src/main/kotlin/org/hyssoprack/serving/limits/AccountUsage.kt
@@ -1,9 +1,10 @@
 package org.hyssoprack.serving.limits
 
 /**
- * One account's usage in the window as counted by a [QuotaLedger]. Usage from before the ledger's
- * start comes from two sources that cover the same requests, the restored records and the reports
- * of hosts that ran before the records were written, so only the larger of the two counts.
+ * One account's usage in the window as counted by a [QuotaLedger]. Usage that another ledger admitted
+ * comes from several sources that cover the same requests in part: the recorded usage and the reports
+ * of hosts that ran before it was written cover the same, as do what a previous ledger told of and
+ * all others. Of such sources only the largest counts.
  */
 internal class AccountUsage(private val windowMs: Long) {
     /** Usage that this ledger admitted. */
@@ -12,24 +13,24 @@
     /** Usage that hosts reported beyond what this ledger had admitted for them. */
     val reported = SlidingWindowSum(windowMs)
 
-    /** The same of hosts that started after the restored records were written. */
+    /** The same of hosts that started after the recorded usage was written. */
     val reportedSince = SlidingWindowSum(windowMs)
-    private var restored = SlidingWindowSum(windowMs)
+    private var recorded = SlidingWindowSum(windowMs)
+    private var inherited = SlidingWindowSum(windowMs)
 
     /** Total usage counted since this ledger's start. */
     val lifetimeTotal: Double
         get() = admitted.lifetimeTotal + reported.lifetimeTotal + reportedSince.lifetimeTotal
 
     fun restore(slices: List<UsageSlice>) {
-        restored = SlidingWindowSum(windowMs)
-        slices.forEach { restored.add(it.startMs, it.amount) }
+        recorded = sumOf(slices)
     }
 
     /** Raises the usage in the window that ends now to at least [amount], spread evenly over it. */
     fun inherit(nowMs: Long, amount: Double) {
+        if (amount <= total(nowMs)) return
         val remaining = amount - admitted.total(nowMs)
-        if (remaining <= restored.total(nowMs)) return
-        restore(
+        inherited = sumOf(
             (1..EVEN_SLICES).map {
                 UsageSlice(nowMs - windowMs + windowMs * it / EVEN_SLICES, remaining / EVEN_SLICES)
             }
@@ -42,17 +43,26 @@
     fun counted(nowMs: Long): Double =
         admitted.total(nowMs) + reported.total(nowMs) + reportedSince.total(nowMs)
 
-    /** Returns the restored usage in the window beyond what hosts have reported. */
-    fun unreported(nowMs: Long): Double =
-        (restored.total(nowMs) - reported.total(nowMs)).coerceAtLeast(0.0)
+    /** Returns the recorded or inherited usage in the window beyond what hosts have reported. */
+    fun unreported(nowMs: Long): Double {
+        val before = reported.total(nowMs)
+        val beyondRecord = recorded.total(nowMs) - before
+        val beyondInherited = inherited.total(nowMs) - before - reportedSince.total(nowMs)
+        return maxOf(beyondRecord, beyondInherited, 0.0)
+    }
 
     /** Returns the usage in the window as time slices, oldest first. */
     fun slices(nowMs: Long): List<UsageSlice> {
-        val earlier = if (reported.total(nowMs) >= restored.total(nowMs)) reported else restored
-        return listOf(admitted, reportedSince, earlier).flatMap { it.slices(nowMs) }
-            .sortedBy { it.startMs }
+        val before = listOf(reported, recorded).maxBy { it.total(nowMs) }
+        val beforeAndSince = before.total(nowMs) + reportedSince.total(nowMs)
+        val isInheritedMore = inherited.total(nowMs) > beforeAndSince
+        val earlier = if (isInheritedMore) listOf(inherited) else listOf(before, reportedSince)
+        return (earlier + admitted).flatMap { it.slices(nowMs) }.sortedBy { it.startMs }
     }
 
+    private fun sumOf(slices: List<UsageSlice>) = SlidingWindowSum(windowMs)
+        .apply { slices.forEach { add(it.startMs, it.amount) } }
+
     private companion object {
         const val EVEN_SLICES = 20
     }
--- a/core/serving/src/test/kotlin/org/hyssoprack/serving/limits/QuotaLedgerTest.kt
+++ b/core/serving/src/test/kotlin/org/hyssoprack/serving/limits/QuotaLedgerTest.kt
@@ -142,6 +142,20 @@
         assertThat(ledger.usedShare(account)).isEqualTo(0.5)
     }
 
+    @Example
+    fun `usage that the ledger before told of and that hosts report as well counts once`() {
+        val startsMs = mapOf("before the record" to 1L, "after the record" to 99_500L)
+        for ((name, startMs) in startsMs) {
+            val ledger = QuotaLedger(ManualClock(100_000), { tolerance }) { 1.0 }
+            val slices = listOf(UsageSlice(startMs = 99_000, amount = 900.0))
+            ledger.restore(mapOf(account.name to RecordedUsage(slices, ageMs = 1_000)))
+            ledger.inherit(listOf(account), mapOf(account.name to 0.5))
+            val reporter = HostRef(HostId("c"), Incarnation(startMs))
+            ledger.reconcile(reporter, mapOf(account.name to 3_600.0))
+            assertThat(ledger.usedShare(account), name).isEqualTo(0.5)
+        }
+    }
+
     @Example
     fun `hosts that restart at once use what the record left, before and after they meet`() {
         class Case(val name: String, val recorded: Double, val least: Double)
