Move the count of unseen hosts out of SwimMembership and name what a newcomer would stumble over

Read once more as a whole: SwimMembership kept three fields for one count (UnseenHosts now); the age that stands for the silence of an older reader stood twice in SharedRowFeed, and silentAtMs named neither the reader nor what happens then (leaveAtMs); the KDoc of CrashingPartRegistry left the peers out and that of AccountUsage was hard to follow.

--- a/backend/http/src/test/kotlin/org/hyssoprack/backend/http/HttpEngineClientTest.kt
+++ b/backend/http/src/test/kotlin/org/hyssoprack/backend/http/HttpEngineClientTest.kt
@@ -54,7 +54,7 @@
         }
         val last = events.last()
         if (case.code == null) {
-            assertThat(last, name = case.name).isInstanceOf(EngineEvent.Finished::class)
+            assertThat(last, name = "${case.name}: $last").isInstanceOf(EngineEvent.Finished::class)
             assertThat(tokens.size, name = case.name).isEqualTo(TOKENS)
             return
         }
--- a/core/membership/src/main/kotlin/org/hyssoprack/membership/SwimMembership.kt
+++ b/core/membership/src/main/kotlin/org/hyssoprack/membership/SwimMembership.kt
@@ -15,7 +15,6 @@
 import org.hyssoprack.common.BundleVersion
 import org.hyssoprack.common.Clock
 import org.hyssoprack.common.EventLog
-import org.hyssoprack.common.HostId
 import org.hyssoprack.common.HostRef
 import org.hyssoprack.common.NetworkAddress
 import org.hyssoprack.common.NoOpEventLog
@@ -49,11 +48,9 @@
     }
     private val expired = Channel<HostRef>(COMMAND_LIMIT)
     private val restored = Channel<Unit>(Channel.CONFLATED)
+    private val unseenHosts = UnseenHosts()
     private val ownership = RendezvousOwnership()
     private val current = MutableStateFlow(table.view())
-    private var countedMembers: Map<HostId, Member>? = null
-    private var countedSeeds = 0
-    private var unseenHosts = 0
     private var nextTickMs = clock.nowMs()
     private var nextJoinMs = clock.nowMs()
 
@@ -114,13 +111,8 @@
 
     private fun view(): MemberView {
         val view = table.view()
-        if (view.members !== countedMembers || seeds.size != countedSeeds) {
-            countedMembers = view.members
-            countedSeeds = seeds.size
-            val known = view.members.values.mapTo(HashSet()) { it.linkAddress }
-            unseenHosts = seeds.count { it !in known }
-        }
-        return if (unseenHosts == 0) view else view.copy(unseenHosts = unseenHosts)
+        val unseen = unseenHosts.count(view.members, seeds)
+        return if (unseen == 0) view else view.copy(unseenHosts = unseen)
     }
 
     @OptIn(ExperimentalCoroutinesApi::class)
--- a/core/serving/src/main/kotlin/org/hyssoprack/serving/limits/AccountUsage.kt
+++ b/core/serving/src/main/kotlin/org/hyssoprack/serving/limits/AccountUsage.kt
@@ -1,10 +1,10 @@
 package org.hyssoprack.serving.limits
 
 /**
- * One account's usage in the window as counted by a [QuotaLedger]. Usage that another ledger admitted
- * comes from several sources that cover the same requests in part: the recorded usage and the reports
- * of hosts that ran before it was written cover the same, as do what a previous ledger told of and
- * all others. Of such sources only the largest counts.
+ * One account's usage in the window as counted by a [QuotaLedger]. Several sources tell of usage that
+ * this ledger did not admit, and cover the same requests in part. Recorded usage and the reports of
+ * hosts that ran before it was written overlap, so only the larger counts. Inherited usage, which a
+ * previous ledger told of, overlaps with all other sources together.
  */
 internal class AccountUsage(private val windowMs: Long) {
     /** Usage that this ledger admitted. */
--- a/core/serving/src/main/kotlin/org/hyssoprack/serving/limits/BegunNews.kt
+++ b/core/serving/src/main/kotlin/org/hyssoprack/serving/limits/BegunNews.kt
@@ -3,7 +3,7 @@
 /** First events that clear parts which the slot owner or the peers suspect. */
 internal class BegunNews {
     private val begunMs = LinkedHashMap<PartKey, Long>()
-    private val untakenForPeers = HashSet<PartKey>()
+    private val newForPeers = HashSet<PartKey>()
 
     /** Whether parts were added since the last call of [take]. */
     var isNew = false
@@ -12,7 +12,7 @@
     /** Adds a first event at [ms]. */
     fun add(key: PartKey, ms: Long) {
         if (begunMs.put(key, ms) == null) isNew = true
-        untakenForPeers += key
+        newForPeers += key
         if (begunMs.size > MAX_PARTS) drop(begunMs.keys.first())
     }
 
@@ -25,10 +25,10 @@
 
     /** Returns the first events that were added since the last call. */
     fun takeForPeers(nowMs: Long): List<PartBegun> {
-        val taken = untakenForPeers.mapNotNull { key ->
+        val taken = newForPeers.mapNotNull { key ->
             begunMs[key]?.let { partBegun(key, it, nowMs) }
         }
-        untakenForPeers.clear()
+        newForPeers.clear()
         return taken
     }
 
@@ -39,12 +39,12 @@
             val record = listed[key]
             record == null || record.hasBegun && ms <= nowMs - record.lastAgeMs
         }
-        untakenForPeers.retainAll(begunMs.keys)
+        newForPeers.retainAll(begunMs.keys)
     }
 
     private fun drop(key: PartKey) {
         begunMs.remove(key)
-        untakenForPeers.remove(key)
+        newForPeers.remove(key)
     }
 
     private fun partBegun(key: PartKey, ms: Long, nowMs: Long) =
--- a/core/serving/src/main/kotlin/org/hyssoprack/serving/limits/CrashingPartRegistry.kt
+++ b/core/serving/src/main/kotlin/org/hyssoprack/serving/limits/CrashingPartRegistry.kt
@@ -8,9 +8,9 @@
 
 /**
  * Registry of the parts of prompts, and of the requests as a whole by their own parts, that may
- * crash the servers that begin to answer them. The slot
- * owner decides which parts are blocked; a host that has not heard from it for a time decides by
- * what it knows. Times are of this host's monotonic clock.
+ * crash the servers that begin to answer them. The slot owner decides which parts are blocked. A
+ * host that has not heard from it for a time decides by what it and its peers have seen. Times are
+ * of this host's monotonic clock.
  */
 class CrashingPartRegistry(private val clock: Clock, log: EventLog) {
     private val partLog = PartLog(log)
--- a/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/feeds/SharedRowFeed.kt
+++ b/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/feeds/SharedRowFeed.kt
@@ -36,7 +36,7 @@
     private val mostSilenceMs: Long
 ) : RowFeed {
     private val avoidUntilMs = HashMap<HostId, Long>()
-    private val silentAtMs = HashMap<HostId, Long>()
+    private val leaveAtMs = HashMap<HostId, Long>()
     private val knownEra = feeds.knownEra
 
     override suspend fun read(): Either<Failure, RowSnapshot> {
@@ -48,7 +48,7 @@
             reply.position,
             reply.ageMs,
             reply.sinceStoreRecoveryMs,
-            reply.sinceResponseMs ?: reply.ageMs
+            reply.silenceMs
         ).right()
     }
 
@@ -62,7 +62,7 @@
                 reply.position,
                 reply.ageMs,
                 reply.sinceStoreRecoveryMs,
-                reply.sinceResponseMs ?: reply.ageMs
+                reply.silenceMs
             ).right()
 
         is FeedMessage.Unavailable ->
@@ -102,7 +102,7 @@
             "era" eq (answer as? FeedMessage.Rows)?.era
         )
         avoidUntilMs[reader] = clock.nowMs() + AVOID_MS
-        silentAtMs.remove(reader)
+        leaveAtMs.remove(reader)
         return null
     }
 
@@ -111,20 +111,23 @@
 
     private fun recordResponse(reader: HostId, answer: FeedMessage.Rows) {
         // Hosts of older builds do not tell; their requests are held for the whole time.
-        silentAtMs[reader] = answer.sinceResponseMs
+        leaveAtMs[reader] = answer.sinceResponseMs
             ?.let { clock.nowMs() - it + mostSilenceMs }
             ?: Long.MAX_VALUE
     }
 
     /**
-     * Returns the time for which [reader] may hold a request: no longer than the store may be silent
-     * to it. A reader of which that is not known replies at once.
+     * Returns the time for which [reader] may hold a request: until it would be left, should the
+     * store remain silent to it. A reader of which that is not known replies at once.
      */
     private fun holdMs(reader: HostId, waitMs: Long): Long {
-        val silentMs = silentAtMs[reader] ?: return 0
-        return (silentMs - clock.nowMs()).coerceIn(0, waitMs)
+        val leaveMs = leaveAtMs[reader] ?: return 0
+        return (leaveMs - clock.nowMs()).coerceIn(0, waitMs)
     }
 
+    // A reader of an older build tells the age of its data only.
+    private val FeedMessage.Rows.silenceMs: Long get() = sinceResponseMs ?: ageMs
+
     private fun FeedMessage.Rows.feedRows(): List<FeedRow> = rows.map { FeedRow(it.key, it.value) }
 
     private companion object {
