Review: an unreadable entry of another writer ends the feed of servers on all hosts

Two processes, six workers on loopback; another writer puts one entry into the table of servers whose field version is a list in a list, 1,000 deep; then the workers are replaced one after the other. Seen: StackOverflowError ends the coroutine that follows the table, on both processes. Draining workers get requests up to 5 s after the acknowledgement, new workers get none, and at the end every request is refused for good.

--- a/review/standins/Deployment.java
+++ b/review/standins/Deployment.java
@@ -8,8 +8,11 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Random;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
@@ -37,6 +40,8 @@
         }
     }
 
+    private static final Random RANDOM = new Random();
+    private static final Set<Integer> GIVEN = new HashSet<>();
     static final String KEY = "key-of-one-tenant";
     static final String NAME = "shop.example";
     final Store store = new Store();
@@ -97,15 +102,48 @@
         return "{\"name\":\"" + name + "\",\"healthPath\":\"/health\",\"maxConnections\":110}";
     }
 
-    /** Registers a worker and renews its entry every 1,200 ms. */
-    void register(Worker worker, String service, int slots) {
-        long bornMs = System.currentTimeMillis();
+    /** A worker's entry in the store, which it renews every 1,200 ms. */
+    final class Entry {
+        private final Worker worker;
+        private final String service;
+        private final int slots;
+        private final long bornMs = System.currentTimeMillis();
+        private String state = "ready";
+        private int seqNo;
+        private boolean isRemoved;
+
+        Entry(Worker worker, String service, int slots) {
+            this.worker = worker;
+            this.service = service;
+            this.slots = slots;
+        }
+
+        synchronized void write() {
+            if (isRemoved) return;
+            seqNo++;
+            store.put("servers", worker.id, "{\"service\":\"" + service + "\",\"address\":\""
+                + worker.address() + "\",\"zone\":\"a\",\"version\":\"1\",\"slots\":" + slots
+                + ",\"state\":\"" + state + "\",\"coldRemainingMs\":0,\"seqNo\":" + seqNo + ",\"born\":"
+                + bornMs + "}");
+        }
+
+        synchronized void setState(String next) {
+            state = next;
+            write();
+        }
+
+        synchronized void remove() {
+            isRemoved = true;
+            store.remove("servers", worker.id);
+        }
+    }
+
+    /** Registers a worker and renews its entry. */
+    Entry register(Worker worker, String service, int slots) {
+        Entry entry = new Entry(worker, service, slots);
         daemon(() -> {
-            for (int seqNo = 1; true; seqNo++) {
-                store.put("servers", worker.id, "{\"service\":\"" + service + "\",\"address\":\""
-                    + worker.address() + "\",\"zone\":\"a\",\"version\":\"1\",\"slots\":" + slots
-                    + ",\"state\":\"ready\",\"coldRemainingMs\":0,\"seqNo\":" + seqNo + ",\"born\":" + bornMs
-                    + "}");
+            while (true) {
+                entry.write();
                 try {
                     Thread.sleep(1_200);
                 } catch (InterruptedException e) {
@@ -113,6 +151,7 @@
                 }
             }
         });
+        return entry;
     }
 
     /** Starts a host process. */
@@ -166,14 +205,16 @@
         return "\"" + value + "\"";
     }
 
-    static int freePort() {
+    /** A port that is free together with the next one, below the range that outgoing connections use. */
+    static synchronized int freePort() {
         while (true) {
-            try (ServerSocket one = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"));
-                 ServerSocket next = new ServerSocket(one.getLocalPort() + 1, 1,
-                     InetAddress.getByName("127.0.0.1"))) {
-                return one.getLocalPort();
+            int port = 20_000 + RANDOM.nextInt(5_000) * 2;
+            if (!GIVEN.add(port)) continue;
+            try (ServerSocket one = new ServerSocket(port, 1, InetAddress.getByName("127.0.0.1"));
+                 ServerSocket next = new ServerSocket(port + 1, 1, InetAddress.getByName("127.0.0.1"))) {
+                return port;
             } catch (IOException e) {
-                // The next port is in use: try others.
+                // The port is in use: try others.
             }
         }
     }
--- a/review/standins/Store.java
+++ b/review/standins/Store.java
@@ -39,6 +39,12 @@
         notifyAll();
     }
 
+    synchronized void remove(String table, String key) {
+        ver++;
+        rowsOf(table).put(key, new Row(null, ver));
+        notifyAll();
+    }
+
     private void accept() {
         while (true) {
             try {
--- a/review/standins/Worker.java
+++ b/review/standins/Worker.java
@@ -44,6 +44,12 @@
         return "127.0.0.1:" + listener.getLocalPort();
     }
 
+    /** Ends the worker: closes all its sockets. */
+    void close() throws IOException {
+        listener.close();
+        for (Socket socket : sockets) socket.close();
+    }
+
     private void accept() {
         while (true) {
             try {
