Bound what a row of another writer may cost its decoder

Draining servers got requests up to 5 s later, new ones got none.

Cause: RegistrationDecoder read `version` as a JsonElement by recursion; 500 lists within each other overflow the stack of the event loop (256 kB). Arrow's Either.catch passes on errors of the virtual machine, so the row ended the coroutine of the feed.

Change: BoundedJson checks length and nesting depth in one pass before it parses, and gives a reason instead of throwing. The sinks reject a row whose decoder throws all the same, so that it keeps no other row from being applied. Not affected: the store's own replies (typed, unknown fields are skipped without recursion; rows are Base64 text in them).

--- a/core/membership/src/main/kotlin/org/hyssoprack/membership/TableMemberDirectory.kt
+++ b/core/membership/src/main/kotlin/org/hyssoprack/membership/TableMemberDirectory.kt
@@ -5,21 +5,26 @@
 import arrow.core.raise.either
 import arrow.core.right
 import kotlinx.serialization.json.Json
+import org.hyssoprack.common.BoundedJson
+import org.hyssoprack.common.EventLog
 import org.hyssoprack.common.Failure
 import org.hyssoprack.common.HostId
 import org.hyssoprack.common.HostRef
+import org.hyssoprack.common.NoOpEventLog
 import org.hyssoprack.common.ResultCode
+import org.hyssoprack.common.eq
 import org.hyssoprack.store.Row
 import org.hyssoprack.store.RowKey
 import org.hyssoprack.store.TableService
 import org.hyssoprack.store.WriteResult
 
 /** [MemberDirectory] in the table service, with one row per host. */
-class TableMemberDirectory(private val table: TableService) : MemberDirectory {
-    private val json = Json { ignoreUnknownKeys = true }
-
+class TableMemberDirectory(
+    private val table: TableService,
+    private val log: EventLog = NoOpEventLog
+) : MemberDirectory {
     override suspend fun register(self: Member): Either<Failure, Unit> {
-        val value = json.encodeToString(MemberRow.serializer(), MemberRow.of(self))
+        val value = Json.encodeToString(MemberRow.serializer(), MemberRow.of(self))
         return register(self.ref, value, current = null)
     }
 
@@ -69,8 +74,9 @@
             }
         )
 
-    private fun rowOf(row: Row): MemberRow? =
-        Either.catch { json.decodeFromString(MemberRow.serializer(), row.value) }.getOrNull()
+    private fun rowOf(row: Row): MemberRow? = BoundedJson.decode(MemberRow.serializer(), row.value)
+        .onLeft { log.event("member-row-unreadable", "row" eq row.key.key, "detail" eq it) }
+        .getOrNull()
 
     private fun revisionOf(row: Row?): Long = row?.revision ?: 0
 
--- a/core/membership/src/test/kotlin/org/hyssoprack/membership/TableMemberDirectoryTest.kt
+++ b/core/membership/src/test/kotlin/org/hyssoprack/membership/TableMemberDirectoryTest.kt
@@ -9,6 +9,7 @@
 import net.jqwik.api.Example
 import org.hyssoprack.common.Failure
 import org.hyssoprack.common.ResultCode
+import org.hyssoprack.store.RowKey
 
 class TableMemberDirectoryTest {
     private val table = FakeTable()
@@ -53,6 +54,17 @@
         assertThat(members()).isEmpty()
     }
 
+    @Example
+    fun `a row that cannot be read hides no other host`() = runBlocking {
+        val deep = "[".repeat(30_000)
+        val texts = listOf("", "[]", "{}", "{\"ref\":7}", "{\"ref\":$deep", "{\"x\":$deep")
+        directory.register(old)
+        texts.forEachIndexed { index, text ->
+            table.compareAndSet(RowKey("members", "other-$index"), 0, text)
+        }
+        assertThat(members()).containsExactly(old)
+    }
+
     private suspend fun members() = directory.list().getOrNull().orEmpty()
 
     private fun codeOf(failure: Failure?) = failure?.code
--- a/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/QuotaRecorder.kt
+++ b/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/QuotaRecorder.kt
@@ -1,12 +1,12 @@
 package org.hyssoprack.gateway.forwarding
 
-import arrow.core.Either
+import arrow.core.getOrElse
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.withTimeoutOrNull
-import kotlinx.serialization.SerializationException
 import kotlinx.serialization.json.Json
+import org.hyssoprack.common.BoundedJson
 import org.hyssoprack.common.ClientAccount
 import org.hyssoprack.common.Clock
 import org.hyssoprack.common.EventLog
@@ -36,7 +36,6 @@
     private val log: EventLog,
     private val era: () -> StoreEra? = { null }
 ) {
-    private val format = Json { ignoreUnknownKeys = true }
     private val written = HashMap<ClientAccount, WrittenUsage>()
     private val writing = HashSet<ClientAccount>()
     private val outdated = HashSet<ClientAccount>()
@@ -90,7 +89,7 @@
     private suspend fun write(account: Account) {
         try {
             val counted = ledger.countedShare(account)
-            val text = format.encodeToString(QuotaRecord.serializer(), recordOf(account.name))
+            val text = Json.encodeToString(QuotaRecord.serializer(), recordOf(account.name))
             val key = RowKey(TABLE, account.name.value)
             val expected = written[account.name]?.revision ?: 0
             val restoresBefore = restores
@@ -139,10 +138,10 @@
 
     private fun usageOf(row: Row): Pair<ClientAccount, RecordedUsage>? {
         val shiftMs = clock.epochMs() - clock.nowMs()
-        val record = Either.catchOrThrow<SerializationException, QuotaRecord> {
-            format.decodeFromString(QuotaRecord.serializer(), row.value)
-        }.onLeft { log.event("quota-record-unreadable", "row" eq row.key.key) }.getOrNull()
-        if (record == null) return null
+        val record = BoundedJson.decode(QuotaRecord.serializer(), row.value).getOrElse {
+            log.event("quota-record-unreadable", "row" eq row.key.key, "detail" eq it)
+            return null
+        }
         val slices = record.slices.map { it.copy(startMs = it.startMs - shiftMs) }
         val usage = RecordedUsage(
             slices = slices,
--- a/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/ServerSink.kt
+++ b/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/ServerSink.kt
@@ -1,9 +1,13 @@
 package org.hyssoprack.gateway.forwarding
 
 import arrow.core.Either
+import arrow.core.getOrElse
+import arrow.core.left
 import org.hyssoprack.common.BackendServerId
 import org.hyssoprack.common.EventLog
 import org.hyssoprack.common.Failure
+import org.hyssoprack.common.ResultCode
+import org.hyssoprack.common.catchAny
 import org.hyssoprack.common.eq
 import org.hyssoprack.serving.fleet.RegisteredServer
 import org.hyssoprack.serving.fleet.ServerRegistry
@@ -57,8 +61,14 @@
 
     private fun serverOf(row: FeedRow): RegisteredServer? {
         val text = row.value ?: return null
-        return decode(row.key, text)
+        return decoded(row.key, text)
             .onLeft { log.event("server-unreadable", "server" eq row.key, "detail" eq it.detail) }
             .getOrNull()
     }
+
+    // Any row may come from another writer. An error of the decoder must not keep the other rows
+    // from being applied.
+    private fun decoded(id: String, text: String): Either<Failure, RegisteredServer> =
+        catchAny { decode(id, text) }
+            .getOrElse { Failure(ResultCode.SETTINGS_INVALID, "decoder failed: $it").left() }
 }
--- a/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/SettingsSink.kt
+++ b/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/SettingsSink.kt
@@ -1,8 +1,12 @@
 package org.hyssoprack.gateway.forwarding
 
 import arrow.core.Either
+import arrow.core.getOrElse
+import arrow.core.left
 import org.hyssoprack.common.EventLog
 import org.hyssoprack.common.Failure
+import org.hyssoprack.common.ResultCode
+import org.hyssoprack.common.catchAny
 import org.hyssoprack.common.eq
 import org.hyssoprack.serving.settings.ActiveSettings
 import org.hyssoprack.serving.settings.ClockReading
@@ -29,7 +33,7 @@
     override fun change(rows: List<FeedRow>): Boolean {
         val text = rows.lastOrNull { it.key == rowKey }?.value ?: return true
         if (text == activeText) return true
-        return decode(text).fold(::rejected) { accepted(it, text) }
+        return decoded(text).fold(::rejected) { accepted(it, text) }
     }
 
     override fun confirm(readStarted: ClockReading) {
@@ -40,6 +44,10 @@
 
     override fun storeRecovered(agoMs: Long) = Unit
 
+    // A row that makes the decoder fail is rejected like any other that cannot be read.
+    private fun decoded(text: String): Either<Failure, ServingSettings> = catchAny { decode(text) }
+        .getOrElse { Failure(ResultCode.SETTINGS_INVALID, "decoder failed: $it").left() }
+
     private fun rejected(failure: Failure): Boolean {
         log.event("settings-unreadable", "detail" eq failure.detail)
         return false
