Start background tasks again that end with an unexpected error

Cause: the coroutines of PlatformHost, membership and links ended with the first error that nobody expects. FeedFollower had moved its position by then, so going on would skip the failed rows.

Ruled out: going on with the next change (rows would be lost); taking the host out of service (the row makes all hosts fail at once, and serving by the servers known so far is better for callers).

--- a/core/membership/src/main/kotlin/org/hyssoprack/membership/SwimMembership.kt
+++ b/core/membership/src/main/kotlin/org/hyssoprack/membership/SwimMembership.kt
@@ -19,6 +19,7 @@
 import org.hyssoprack.common.NetworkAddress
 import org.hyssoprack.common.NoOpEventLog
 import org.hyssoprack.common.SystemClock
+import org.hyssoprack.common.TaskSupervisor
 import org.hyssoprack.common.eq
 import org.hyssoprack.link.Link
 
@@ -62,6 +63,13 @@
         if (directoryTask != null) scope.launch { maintainDirectory(directoryTask) }
     }
 
+    /** Starts the tasks; one that throws is started again. */
+    fun start(tasks: TaskSupervisor) {
+        tasks.launch("membership") { run() }
+        if (directoryTask == null) return
+        tasks.launch("member-directory") { maintainDirectory(directoryTask) }
+    }
+
     override fun receive(from: HostRef, message: MemberMessage) {
         commands.trySend(MemberCommand.Receive(from, message))
     }
--- a/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/FeedFollower.kt
+++ b/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/FeedFollower.kt
@@ -33,8 +33,12 @@
     private var hasAllChanges = false
     private var failures = 0
 
-    /** Follows the table until it is cancelled. */
+    /**
+     * Follows the table until it is cancelled. Begins with the whole table, also when it runs again
+     * after it threw: changes that were read then may not have been applied.
+     */
     suspend fun run() {
+        hasAllChanges = false
         while (true) {
             val failure = step() ?: continue
             handle(failure)
--- a/gateway/forwarding/src/test/kotlin/org/hyssoprack/gateway/forwarding/feeds/FeedFleet.kt
+++ b/gateway/forwarding/src/test/kotlin/org/hyssoprack/gateway/forwarding/feeds/FeedFleet.kt
@@ -22,6 +22,7 @@
 import org.hyssoprack.common.NetworkAddress
 import org.hyssoprack.common.NoOpEventLog
 import org.hyssoprack.common.ResultCode
+import org.hyssoprack.common.TaskSupervisor
 import org.hyssoprack.gateway.forwarding.FeedFollower
 import org.hyssoprack.gateway.forwarding.FeedSink
 import org.hyssoprack.gateway.forwarding.ratelimit.SimulatedTime
@@ -47,7 +48,7 @@
     private val acknowledgedMs = ArrayList<Long>()
 
     val readers = List(READERS) { Host(HostId("reader-$it"), readers = emptyList()) }
-    private val followers = List(FOLLOWERS) { index ->
+    val followers = List(FOLLOWERS) { index ->
         val order = readers.map { it.id }
         Host(HostId("follower-$index"), if (index % 2 == 0) order else order.reversed())
     }
@@ -62,10 +63,17 @@
     init {
         acknowledgedMs += clock.nowMs()
         (readers + followers).forEach { it.start() }
-        scope.launch { writeChanges() }
         scope.launch { watch() }
     }
 
+    private val changes = scope.launch { writeChanges() }
+
+    /** Version of the row in the store. */
+    val newestVersion: Int get() = acknowledgedMs.lastIndex
+
+    /** Ends the changes of the row. */
+    fun stopChanges() = changes.cancel()
+
     fun advance(ms: Long) = scheduler.advanceTimeBy(ms)
 
     fun end() = scope.cancel()
@@ -95,6 +103,9 @@
         var storePath = StorePath.OPEN
         var isMute = false
         var isDeaf = false
+
+        /** Makes this host's sink throw when it applies rows. */
+        var isFailing: () -> Boolean = { false }
         var calls = 0
             private set
         var version = 0
@@ -113,7 +124,7 @@
             )
             val updater = TableReplicaUpdater(TABLE, feeds)
             val follower = FeedFollower(TABLE, feed, this, clock, NoOpEventLog, WAIT_MS, updater)
-            scope.launch { follower.run() }
+            TaskSupervisor(scope, clock, NoOpEventLog).launch("follow") { follower.run() }
         }
 
         override suspend fun read(): Either<Failure, RowSnapshot> = call {
@@ -133,6 +144,7 @@
         override fun replace(rows: List<FeedRow>) = change(rows)
 
         override fun change(rows: List<FeedRow>): Boolean {
+            if (isFailing()) throw StackOverflowError()
             rows.lastOrNull()?.value?.let { version = it.toInt() }
             return true
         }
--- a/link/tcp/src/main/kotlin/org/hyssoprack/link/tcp/TcpLink.kt
+++ b/link/tcp/src/main/kotlin/org/hyssoprack/link/tcp/TcpLink.kt
@@ -29,6 +29,7 @@
 import org.hyssoprack.common.NoOpEventLog
 import org.hyssoprack.common.ResultCode
 import org.hyssoprack.common.SystemClock
+import org.hyssoprack.common.TaskSupervisor
 import org.hyssoprack.common.eq
 import org.hyssoprack.link.Link
 import org.hyssoprack.link.ReceivedMessage
@@ -48,6 +49,7 @@
     private val log: EventLog
 ) : Link {
     private val scope = CoroutineScope(SupervisorJob() + Dispatchers.Default.limitedParallelism(1))
+    private val tasks = TaskSupervisor(scope, clock, log)
     private val counters = LinkCounters()
     private val received = Channel<ReceivedMessage>(
         capacity = settings.incomingLength,
@@ -115,7 +117,7 @@
 
     private fun startPeer(host: HostId?): Peer {
         val peer = Peer(host, settings, clock, counters) { opener.dial(it).onRight(::start) }
-        scope.launch { peer.run() }
+        tasks.launch("link-peer") { peer.run() }
         return peer
     }
 
@@ -132,7 +134,7 @@
     }
 
     private fun listen() {
-        scope.launch {
+        tasks.launch("link-listener") {
             while (true) {
                 val socket = nextSocket() ?: continue
                 scope.launch { opener.accept(socket).onRight(::start) }
