Never send a request twice on one connection

Cause: a refused request was sent again on the pooled connection that it had just used. A late copy of the refusal bears the id of the request, so it was taken for the answer to the second send while the server ran it. The same holds for copies of 421 and of failures.

Ruled out: closing the connection after each refusal, which costs a connection for each refusal under overload and leaves failures uncovered.

Change: RequestProgress keeps the connections that a request was sent on, and the pool leaves them out; they stay open for other requests, whose ids differ.

--- a/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/ServerAttempt.kt
+++ b/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/ServerAttempt.kt
@@ -94,8 +94,11 @@
         }
     }
 
-    private suspend fun connect() =
-        connections.open(state.server.address, RequestPlacement.CONNECT_TIMEOUT_MS)
+    private suspend fun connect() = connections.open(
+        address = state.server.address,
+        connectTimeoutMs = RequestPlacement.CONNECT_TIMEOUT_MS,
+        except = progress.usedConnections
+    )
 
     private fun unreachable(detail: String): AttemptResult {
         connections.forget(state.server.address)
@@ -109,6 +112,7 @@
             remainingMs = (call.endMs - clock.nowMs()).coerceAtLeast(1),
             lastEventId = relay.lastEventId
         )
+        progress.usedConnections += connection
         progress.arrivals++
         progress.runs++
         connection.send(
--- a/gateway/forwarding/src/test/kotlin/org/hyssoprack/gateway/forwarding/failover/ScriptedServers.kt
+++ b/gateway/forwarding/src/test/kotlin/org/hyssoprack/gateway/forwarding/failover/ScriptedServers.kt
@@ -47,7 +47,8 @@
 
     override suspend fun open(
         address: NetworkAddress,
-        connectTimeoutMs: Int
+        connectTimeoutMs: Int,
+        except: Set<ServerConnection>
     ): Either<Failure, ServerConnection> {
         delay(openDelayMs)
         val isRefused = opened++ in refusedOpens || address in down
--- a/gateway/netty/src/main/kotlin/org/hyssoprack/gateway/netty/NettyServerConnections.kt
+++ b/gateway/netty/src/main/kotlin/org/hyssoprack/gateway/netty/NettyServerConnections.kt
@@ -29,9 +29,10 @@
 
     override suspend fun open(
         address: NetworkAddress,
-        connectTimeoutMs: Int
+        connectTimeoutMs: Int,
+        except: Set<ServerConnection>
     ): Either<Failure, ServerConnection> {
-        val pooled = takeIdle(address)
+        val pooled = takeIdle(address, except)
         return pooled?.right() ?: connect(address, connectTimeoutMs)
     }
 
@@ -51,10 +52,14 @@
         idle.values.removeIf { it.isEmpty() }
     }
 
-    private fun takeIdle(address: NetworkAddress): NettyServerConnection? {
+    private fun takeIdle(
+        address: NetworkAddress,
+        except: Set<ServerConnection>
+    ): NettyServerConnection? {
         val list = idle[address] ?: return null
         while (true) {
-            val last = list.removeLastOrNull() ?: return null
+            val last = list.lastOrNull { it.connection !in except } ?: return null
+            list.remove(last)
             if (last.connection.isUsable && clock.nowMs() < last.untilMs) return last.connection
             last.connection.close()
         }
