--- a/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/ServerSink.kt
+++ b/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/ServerSink.kt
@@ -62,13 +62,23 @@
     private fun serverOf(row: FeedRow): RegisteredServer? {
         val text = row.value ?: return null
         return decoded(row.key, text)
-            .onLeft { log.event("server-unreadable", "server" eq row.key, "detail" eq it.detail) }
+            .onLeft { logUnreadable(row.key, it) }
             .getOrNull()
     }
 
+    private fun logUnreadable(key: String, failure: Failure) = log.event(
+        "server-unreadable",
+        "server" eq key.take(MAX_LOGGED_CHARS),
+        "detail" eq failure.detail
+    )
+
     // Any row may come from another writer. An error of the decoder must not keep the other rows
     // from being applied.
     private fun decoded(id: String, text: String): Either<Failure, RegisteredServer> =
         catchAny { decode(id, text) }
             .getOrElse { Failure(ResultCode.SETTINGS_INVALID, "decoder failed: $it").left() }
+
+    private companion object {
+        const val MAX_LOGGED_CHARS = 120
+    }
 }
