Split streams with work by the byte, not by the part

Cause: EventSplitter copied and searched everything buffered for each part, and a read of 64 kB in small chunks is thousands of parts, taken without suspending on the only event loop. Reading stopped by the number of parts only.

Change: the splitter searches only new bytes; the chunks of a read are one part; reading stops at 256 kB too, which bounds the work of one connection in a turn; skipped answers are bounded.

--- a/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/EventSplitter.kt
+++ b/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/EventSplitter.kt
@@ -4,11 +4,16 @@
 
 /**
  * Splits a stream of server-sent events at the ends of its events, so that an incomplete event is
- * never relayed in part.
+ * never relayed in part. The work for a part depends on its size only, not on what is buffered,
+ * however small the parts are.
  */
 internal class EventSplitter {
     private val pending = ByteArrayOutputStream()
 
+    /** The last two bytes of [pending]; 0 for those that there are not. */
+    private var lastByte: Byte = 0
+    private var byteBeforeLast: Byte = 0
+
     /** Id of the last complete event that had one. */
     var lastEventId: String? = null
         private set
@@ -21,30 +26,51 @@
 
     /** Appends [bytes] and returns the events that are now complete; empty if there are none. */
     fun add(bytes: ByteArray): ByteArray {
-        pending.write(bytes)
-        val buffered = pending.toByteArray()
-        val end = endOfLastEvent(buffered)
-        if (end == 0) return EMPTY
-        pending.reset()
-        pending.write(buffered, end, buffered.size - end)
-        val complete = buffered.copyOf(end)
+        val end = endOfLastEvent(bytes)
+        if (end == 0) {
+            buffer(bytes, from = 0)
+            return EMPTY
+        }
+        pending.write(bytes, 0, end)
+        val complete = pending.toByteArray()
+        dropPartial()
+        buffer(bytes, from = end)
         lastEventId = idIn(complete) ?: lastEventId
         return complete
     }
 
     /** Drops the incomplete event. */
-    fun dropPartial() = pending.reset()
+    fun dropPartial() {
+        pending.reset()
+        lastByte = 0
+        byteBeforeLast = 0
+    }
+
+    private fun buffer(bytes: ByteArray, from: Int) {
+        pending.write(bytes, from, bytes.size - from)
+        for (i in maxOf(from, bytes.size - 2) until bytes.size) {
+            byteBeforeLast = lastByte
+            lastByte = bytes[i]
+        }
+    }
 
     private fun endOfLastEvent(bytes: ByteArray): Int {
-        for (i in bytes.size - 1 downTo 1) {
+        for (i in bytes.indices.reversed()) {
             if (bytes[i] != LINE_FEED) continue
-            if (bytes[i - 1] == LINE_FEED) return i + 1
-            val isBlankLine = i >= 2 && bytes[i - 1] == CARRIAGE_RETURN && bytes[i - 2] == LINE_FEED
-            if (isBlankLine) return i + 1
+            val before = byteAt(bytes, i - 1)
+            if (before == LINE_FEED) return i + 1
+            if (before == CARRIAGE_RETURN && byteAt(bytes, i - 2) == LINE_FEED) return i + 1
         }
         return 0
     }
 
+    /** Returns a byte of [bytes], or one of the last two buffered bytes for an index below 0. */
+    private fun byteAt(bytes: ByteArray, index: Int): Byte = when (index) {
+        -1 -> lastByte
+        -2 -> byteBeforeLast
+        else -> bytes[index]
+    }
+
     private fun idIn(events: ByteArray): String? = events.decodeToString()
         .lineSequence()
         .lastOrNull { it.startsWith(ID_FIELD) }
--- /dev/null
+++ b/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/ResponseReader.kt
@@ -0,0 +1,137 @@
+package org.hyssoprack.gateway.forwarding
+
+import arrow.core.Either
+import arrow.core.getOrElse
+import arrow.core.left
+import arrow.core.right
+import io.netty.handler.codec.http.HttpResponse
+import java.io.ByteArrayOutputStream
+import kotlinx.coroutines.withTimeoutOrNull
+import org.hyssoprack.common.Clock
+import org.hyssoprack.gateway.ResponsePart
+import org.hyssoprack.gateway.ServerConnection
+
+/**
+ * Reads the response to one request, within bounds. Each function returns the attempt's result if
+ * there is nothing more to read.
+ *
+ * @param search searches another server while this one makes no progress.
+ * @param onPart called for each part that arrives.
+ * @param onSilence called when nothing has arrived for [NO_DATA_MS], and again after each further
+ *   time as long.
+ */
+internal class ResponseReader(
+    val connection: ServerConnection,
+    private val clock: Clock,
+    private val search: ReplacementSearch,
+    private val onPart: () -> Unit,
+    private val onSilence: () -> Unit
+) {
+    /** Time of the last part, or of the last report that there was none. */
+    private var silenceFromMs = clock.nowMs()
+    private var heads = 0
+
+    /**
+     * Returns the head of the next response, and skips what is left of the one before, which
+     * belongs to another request.
+     */
+    suspend fun nextHead(): Either<AttemptResult, HttpResponse> {
+        var skippedBytes = 0
+        while (true) {
+            when (val part = next().getOrElse { return it.left() }) {
+                is ResponsePart.Head -> {
+                    if (++heads <= MAX_HEADS) return part.response.right()
+                    return AttemptResult.Broken("$MAX_HEADS responses to other requests").left()
+                }
+
+                is ResponsePart.Body -> {
+                    skippedBytes += part.bytes.size
+                    if (skippedBytes > MAX_RESPONSE_BYTES) return tooLarge().left()
+                }
+
+                is ResponsePart.Lost -> return lost(part).left()
+                ResponsePart.End -> Unit
+            }
+        }
+    }
+
+    /** Returns the complete body; calls [onBytes] for each part of it. */
+    suspend fun body(onBytes: () -> Unit): Either<AttemptResult, ByteArray> {
+        val body = ByteArrayOutputStream()
+        while (true) {
+            when (val part = next().getOrElse { return it.left() }) {
+                is ResponsePart.Body -> {
+                    if (body.size() + part.bytes.size > MAX_RESPONSE_BYTES) return tooLarge().left()
+                    body.write(part.bytes)
+                    onBytes()
+                }
+
+                is ResponsePart.Lost -> return lost(part).left()
+                is ResponsePart.Head -> return secondHead().left()
+                ResponsePart.End -> return body.toByteArray().right()
+            }
+        }
+    }
+
+    /** Returns the next bytes of a body; null at its end. */
+    suspend fun bytes(): Either<AttemptResult, ByteArray?> =
+        when (val part = next().getOrElse { return it.left() }) {
+            is ResponsePart.Body -> part.bytes.right()
+            is ResponsePart.Lost -> lost(part).left()
+            is ResponsePart.Head -> secondHead().left()
+            ResponsePart.End -> null.right()
+        }
+
+    private suspend fun next(): Either<AttemptResult, ResponsePart> {
+        while (true) {
+            val part = awaitPart()
+            if (part == null) {
+                search.take()?.let { return AttemptResult.Stalled(it).left() }
+                handleSilence()
+                continue
+            }
+            onPart()
+            silenceFromMs = clock.nowMs()
+            if (part is ResponsePart.Head || part is ResponsePart.End) search.cancel()
+            return part.right()
+        }
+    }
+
+    private fun handleSilence() {
+        if (clock.nowMs() - silenceFromMs < NO_DATA_MS) return
+        silenceFromMs = clock.nowMs()
+        onSilence()
+    }
+
+    /**
+     * Waits for the next part. Returns null if none arrives for a time, which is shorter while
+     * another server is searched.
+     */
+    private suspend fun awaitPart(): ResponsePart? {
+        val waitMs = if (search.isPending) SEARCH_CHECK_MS else NO_DATA_MS
+        return withTimeoutOrNull(waitMs) { connection.next() }
+    }
+
+    private fun lost(part: ResponsePart.Lost) =
+        AttemptResult.Broken(part.reason, isConnectionLost = !part.isClosedHere)
+
+    private fun secondHead() = AttemptResult.Broken("server sent a second response head")
+
+    private fun tooLarge() = AttemptResult.Broken("response exceeds $MAX_RESPONSE_BYTES bytes")
+
+    private companion object {
+        // Twice the longest pause between events that counts as on time, and half the time for
+        // which callers wait for an event.
+        const val NO_DATA_MS = 1_000L
+
+        // Far shorter than the time in which callers notice a pause.
+        const val SEARCH_CHECK_MS = 20L
+
+        // Far larger than any plain response; bounds the memory used for a server that sends bytes
+        // without end.
+        const val MAX_RESPONSE_BYTES = 4_194_304
+
+        // A server sends a response at most a few times.
+        const val MAX_HEADS = 16
+    }
+}
--- a/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/ServerAttempt.kt
+++ b/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/ServerAttempt.kt
@@ -1,17 +1,11 @@
 package org.hyssoprack.gateway.forwarding
 
-import arrow.core.Either
 import arrow.core.getOrElse
-import arrow.core.left
-import arrow.core.right
 import io.netty.handler.codec.http.HttpResponse
-import java.io.ByteArrayOutputStream
-import kotlinx.coroutines.withTimeoutOrNull
 import org.hyssoprack.common.Clock
 import org.hyssoprack.gateway.CallerRequest
 import org.hyssoprack.gateway.DispatchMetadata
 import org.hyssoprack.gateway.ResponseMetadata
-import org.hyssoprack.gateway.ResponsePart
 import org.hyssoprack.gateway.ServerConnection
 import org.hyssoprack.gateway.ServerConnections
 import org.hyssoprack.gateway.WireFormat
@@ -46,8 +40,6 @@
     private var isUnlimited = false
     private var firstMs = 0L
 
-    /** Time of the last part, or of the last report that there was none. */
-    private var silenceFromMs = startMs
     private var hasBegun = false
 
     /** Time of the first bytes of an incomplete event; null if the last event was complete. */
@@ -86,7 +78,7 @@
         var isDone = false
         try {
             send(connection)
-            val end = relayResponse(connection)
+            val end = relayResponse(readerOf(connection))
             isDone = end !is AttemptResult.Broken && end !is AttemptResult.Stalled
             return end
         } finally {
@@ -123,14 +115,20 @@
         )
     }
 
-    private suspend fun relayResponse(connection: ServerConnection): AttemptResult {
+    private fun readerOf(connection: ServerConnection) = ResponseReader(
+        connection = connection,
+        clock = clock,
+        search = search,
+        onPart = { state.recordActivity() },
+        onSilence = {
+            slot.reportStalled()
+            if (isStalled()) search.start()
+        }
+    )
+
+    private suspend fun relayResponse(reader: ResponseReader): AttemptResult {
         while (true) {
-            val part = nextPart(connection).getOrElse { return it }
-            val head = when (part) {
-                is ResponsePart.Head -> part.response
-                is ResponsePart.Lost -> return lost(part)
-                else -> continue
-            }
+            val head = reader.nextHead().getOrElse { return it }
             val metadata = wire.readAnswer(head)
             metadata.load?.let { state.recordReportedLoad(it) }
             if (!metadata.isOtherServer) statusHandler.handle(state, metadata)
@@ -140,26 +138,25 @@
             if (!metadata.isOtherServer) {
                 isUnlimited = statusHandler.handleRateLimit(state, metadata, startMs)
             }
-            return relayMatching(connection, head, metadata)
+            return relayMatching(reader, head, metadata)
         }
     }
 
     private suspend fun relayMatching(
-        connection: ServerConnection,
+        reader: ResponseReader,
         head: HttpResponse,
         metadata: ResponseMetadata
     ): AttemptResult {
-        val status = head.status().code()
-        val isSuccess = status in SUCCESSES
+        val isSuccess = head.status().code() in SUCCESSES
         if (isSuccess && (!metadata.isSealed || metadata.requestId == null)) {
             return AttemptResult.Broken(
                 "successful response without the server's seal or a request id"
             )
         }
-        if (isSuccess && call.route.kind.isStream) return relayStream(connection, head, metadata)
-        val body = readBody(connection).getOrElse { return it }
-        connection.release(idleMs(metadata))
-        return classify(connection, head, metadata, body)
+        if (isSuccess && call.route.kind.isStream) return relayStream(reader, head, metadata)
+        val body = reader.body { recordProgress() }.getOrElse { return it }
+        reader.connection.release(idleMs(metadata))
+        return classify(reader.connection, head, metadata, body)
     }
 
     private fun classify(
@@ -189,27 +186,19 @@
     }
 
     private suspend fun relayStream(
-        connection: ServerConnection,
+        reader: ResponseReader,
         head: HttpResponse,
         metadata: ResponseMetadata
     ): AttemptResult {
         relay.begin(head.status().code(), wire.answerHeaders(head.headers()))
         progress.isStarted = true
         while (true) {
-            val part = nextPart(connection).getOrElse { return it }
-            when (part) {
-                is ResponsePart.Body -> relayBytes(part.bytes)
-                is ResponsePart.Lost -> return lost(part)
-                is ResponsePart.Head -> return AttemptResult.Broken(
-                    "server sent a second response head"
-                )
-                ResponsePart.End -> break
-            }
+            relayBytes(reader.bytes().getOrElse { return it } ?: break)
             replacementOfTrickling()?.let { return AttemptResult.Stalled(it) }
             streamFault()?.let { return AttemptResult.Broken(it) }
         }
         if (!relay.isWhole) return AttemptResult.Broken("stream ended within an event")
-        connection.release(idleMs(metadata))
+        reader.connection.release(idleMs(metadata))
         relay.end()
         return AttemptResult.Delivered(head.status().code())
     }
@@ -265,67 +254,6 @@
         if (progress.firstByteMs == null) progress.firstByteMs = firstMs
     }
 
-    /** Returns the complete body, or the attempt's result if there is none. */
-    private suspend fun readBody(connection: ServerConnection): Either<AttemptResult, ByteArray> {
-        val body = ByteArrayOutputStream()
-        while (true) {
-            when (val part = nextPart(connection).getOrElse { return it.left() }) {
-                is ResponsePart.Body -> {
-                    if (body.size() + part.bytes.size > MAX_RESPONSE_BYTES) {
-                        return AttemptResult.Broken(
-                            "response exceeds $MAX_RESPONSE_BYTES bytes"
-                        ).left()
-                    }
-                    body.write(part.bytes)
-                    recordProgress()
-                }
-
-                is ResponsePart.Lost -> return lost(part).left()
-                is ResponsePart.Head ->
-                    return AttemptResult.Broken("server sent a second response head").left()
-
-                ResponsePart.End -> return body.toByteArray().right()
-            }
-        }
-    }
-
-    /**
-     * Returns the next part, or the attempt's result if the request goes to another server because
-     * this one makes no progress.
-     */
-    private suspend fun nextPart(
-        connection: ServerConnection
-    ): Either<AttemptResult, ResponsePart> {
-        while (true) {
-            val part = awaitPart(connection)
-            if (part == null) {
-                search.take()?.let { return AttemptResult.Stalled(it).left() }
-                handleSilence()
-                continue
-            }
-            state.recordActivity()
-            silenceFromMs = clock.nowMs()
-            if (part is ResponsePart.Head || part is ResponsePart.End) search.cancel()
-            return part.right()
-        }
-    }
-
-    private fun handleSilence() {
-        if (clock.nowMs() - silenceFromMs < NO_DATA_MS) return
-        silenceFromMs = clock.nowMs()
-        slot.reportStalled()
-        if (isStalled()) search.start()
-    }
-
-    /**
-     * Waits for the next part. Returns null if none arrives for a time, which is shorter while
-     * another server is searched.
-     */
-    private suspend fun awaitPart(connection: ServerConnection): ResponsePart? {
-        val waitMs = if (search.isPending) SEARCH_CHECK_MS else NO_DATA_MS
-        return withTimeoutOrNull(waitMs) { connection.next() }
-    }
-
     /**
      * Returns whether the server has made no progress for so long that another one is likely to be
      * faster.
@@ -339,9 +267,6 @@
      */
     private fun isWithoutProgress(): Boolean = promptRead && relay.isStarted && silentMs >= STALL_MS
 
-    private fun lost(part: ResponsePart.Lost) =
-        AttemptResult.Broken(part.reason, isConnectionLost = !part.isClosedHere)
-
     /** Returns what [end] shows about the server. */
     private fun resultOf(end: AttemptResult): SlotResult = when (end) {
         is AttemptResult.Delivered -> streamResult()
@@ -377,20 +302,12 @@
         val SUCCESSES = 200..299
         const val FIRST_FAILURE = 500
 
-        // Twice the longest pause between events that counts as on time, and half the time for
-        // which callers wait for an event.
-        const val NO_DATA_MS = 1_000L
-
-        // Far shorter than the time in which callers notice a pause.
-        const val SEARCH_CHECK_MS = 20L
-
         // Longer than healthy servers take to read the largest prompts.
         const val STALL_MS = 2_000L
 
-        // Far larger than any event or plain response; bounds the memory used for a server that
-        // sends bytes without end.
+        // Far larger than any event; bounds the memory used for a server that sends bytes without
+        // end.
         const val MAX_EVENT_BYTES = 1_048_576
-        const val MAX_RESPONSE_BYTES = 4_194_304
 
         // Margin before the server's idle timeout: whether a request runs that is sent while the
         // server closes the connection is unknown.
--- a/gateway/netty/src/main/kotlin/org/hyssoprack/gateway/netty/NettyServerConnection.kt
+++ b/gateway/netty/src/main/kotlin/org/hyssoprack/gateway/netty/NettyServerConnection.kt
@@ -16,6 +16,7 @@
 import io.netty.handler.codec.http.HttpVersion
 import io.netty.handler.codec.http.LastHttpContent
 import io.netty.util.ReferenceCountUtil
+import java.io.ByteArrayOutputStream
 import java.io.IOException
 import java.nio.channels.ClosedChannelException
 import kotlinx.coroutines.CompletableDeferred
@@ -27,6 +28,10 @@
     ChannelInboundHandlerAdapter(),
     ServerConnection {
     private val parts = ArrayDeque<ResponsePart>()
+    private var bufferedBytes = 0
+
+    /** Body bytes of the current read, which become one part however many chunks they were in. */
+    private val chunks = ArrayList<ByteArray>()
     private var arrival: CompletableDeferred<Unit>? = null
     private var failure: String? = null
     private var isAwaitingResponse = false
@@ -72,8 +77,11 @@
 
     override suspend fun next(): ResponsePart {
         while (parts.isEmpty()) awaitArrival()
-        if (parts.size < RESUME_READING) channel?.config()?.isAutoRead = true
-        return parts.removeFirst()
+        val part = parts.removeFirst()
+        if (part is ResponsePart.Body) bufferedBytes -= part.bytes.size
+        val isRead = parts.size < RESUME_PARTS && bufferedBytes < RESUME_BYTES
+        if (isRead) channel?.config()?.isAutoRead = true
+        return part
     }
 
     // If the wait is cancelled just as a part arrives, only the signal is lost, not the part.
@@ -104,6 +112,11 @@
         }
     }
 
+    override fun channelReadComplete(context: ChannelHandlerContext) {
+        putBody()
+        context.fireChannelReadComplete()
+    }
+
     override fun exceptionCaught(context: ChannelHandlerContext, cause: Throwable) {
         failure = cause.message ?: cause.javaClass.simpleName
         context.close()
@@ -112,6 +125,7 @@
     override fun channelInactive(context: ChannelHandlerContext) {
         isReusable = false
         isAwaitingResponse = false
+        putBody()
         put(ResponsePart.Lost(failure ?: "closed", isClosedHere))
     }
 
@@ -133,9 +147,10 @@
         if (isInterim) return
         if (content.decoderResult().isFailure) return fail("malformed response body")
         val bytes = content.content()
-        if (bytes.isReadable) put(ResponsePart.Body(ByteBufUtil.getBytes(bytes)))
+        if (bytes.isReadable) chunks += ByteBufUtil.getBytes(bytes)
         if (content !is LastHttpContent || failure != null) return
         isAwaitingResponse = false
+        putBody()
         put(ResponsePart.End)
     }
 
@@ -146,9 +161,24 @@
         channel?.close()
     }
 
+    private fun putBody() {
+        if (chunks.isEmpty()) return
+        val bytes = chunks.singleOrNull() ?: joined(chunks)
+        chunks.clear()
+        bufferedBytes += bytes.size
+        put(ResponsePart.Body(bytes))
+    }
+
+    private fun joined(chunks: List<ByteArray>): ByteArray {
+        val all = ByteArrayOutputStream(chunks.sumOf { it.size })
+        chunks.forEach { all.write(it) }
+        return all.toByteArray()
+    }
+
     private fun put(part: ResponsePart) {
         parts.addLast(part)
-        if (parts.size > STOP_READING) channel?.config()?.isAutoRead = false
+        val isFull = parts.size > STOP_PARTS || bufferedBytes > STOP_BYTES
+        if (isFull) channel?.config()?.isAutoRead = false
         arrival?.complete(Unit)
         arrival = null
     }
@@ -157,8 +187,11 @@
         // Servers send at most one or two interim responses; more indicate an endless sequence.
         const val MAX_INTERIM_RESPONSES = 8
 
-        // Buffered parts at which reading from the server stops, because the caller reads slowly.
-        const val STOP_READING = 64
-        const val RESUME_READING = 16
+        // Buffered parts and bytes at which reading from the server stops, because the caller reads
+        // slowly. They also bound the work on one connection between two turns of the event loop.
+        const val STOP_PARTS = 64
+        const val STOP_BYTES = 262_144
+        const val RESUME_PARTS = 16
+        const val RESUME_BYTES = 65_536
     }
 }
