Wait for the end of the drain at a further stop signal

Cause: HostLifecycle.stop returned at once if the shutdown had begun, and the handler of each SIGTERM halts the process when stop returns.

Change: a further call waits for the end of the first and is logged.

--- a/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/HostLifecycle.kt
+++ b/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/HostLifecycle.kt
@@ -1,5 +1,6 @@
 package org.hyssoprack.gateway.forwarding
 
+import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.delay
 import org.hyssoprack.common.Clock
 import org.hyssoprack.common.EventLog
@@ -19,6 +20,7 @@
     private val inProgress: () -> Int
 ) {
     private var stopStartedMs: Long? = null
+    private val stopped = CompletableDeferred<Unit>()
 
     /** Whether shutdown has begun. */
     val isStopping: Boolean get() = stopStartedMs != null
@@ -27,9 +29,23 @@
     val isRefusing: Boolean
         get() = stopStartedMs?.let { clock.nowMs() - it >= KEEP_SERVING_MS } ?: false
 
-    /** Shuts down; the process may exit when this returns. */
+    /**
+     * Shuts down; the process may exit when this returns. A further call while the host shuts down
+     * has no effect but to wait for the end.
+     */
     suspend fun stop(leave: () -> Unit, closeIdle: () -> Unit) {
-        if (isStopping) return
+        if (isStopping) {
+            log.event("host-already-stopping", "inProgress" eq inProgress())
+            return stopped.await()
+        }
+        try {
+            drain(leave, closeIdle)
+        } finally {
+            stopped.complete(Unit)
+        }
+    }
+
+    private suspend fun drain(leave: () -> Unit, closeIdle: () -> Unit) {
         val startMs = clock.nowMs()
         stopStartedMs = startMs
         log.event("host-stopping", "inProgress" eq inProgress())
