Take a stack overflow in a frame for a frame that cannot be decoded

FrameCodecTest has lists within each other and a list longer than its frame; both pass before and after, since unknown fields are skipped without recursion.

--- a/link/tcp/src/main/kotlin/org/hyssoprack/link/tcp/FrameCodec.kt
+++ b/link/tcp/src/main/kotlin/org/hyssoprack/link/tcp/FrameCodec.kt
@@ -8,6 +8,7 @@
 import kotlinx.serialization.cbor.Cbor
 import kotlinx.serialization.modules.SerializersModule
 import org.hyssoprack.common.HostMessage
+import org.hyssoprack.common.catchAny
 
 /**
  * Encodes frames as one byte for the kind and a CBOR body, and decodes them.
@@ -51,7 +52,7 @@
     }
 
     private fun read(decode: () -> Frame): Either<FrameFault, Frame> =
-        Either.catch { decode() }.mapLeft { FrameFault.NOT_DECODABLE }
+        catchAny { decode() }.mapLeft { FrameFault.NOT_DECODABLE }
 
     private companion object {
         const val HEARTBEAT: Byte = 0
--- a/link/tcp/src/test/kotlin/org/hyssoprack/link/tcp/FrameCodecTest.kt
+++ b/link/tcp/src/test/kotlin/org/hyssoprack/link/tcp/FrameCodecTest.kt
@@ -42,7 +42,18 @@
         BadCase("unknown kind", byteArrayOf(9, 1), FrameFault.UNKNOWN_KIND),
         BadCase("no CBOR", byteArrayOf(2, -1, -1), FrameFault.NOT_DECODABLE),
         BadCase("cut off", byteArrayOf(2, 0x82.toByte(), 0x61), FrameFault.NOT_DECODABLE),
-        BadCase("hello of another shape", byteArrayOf(1, 0x01), FrameFault.NOT_DECODABLE)
+        BadCase("hello of another shape", byteArrayOf(1, 0x01), FrameFault.NOT_DECODABLE),
+        BadCase(
+            "lists within each other in an unknown field",
+            byteArrayOf(1, MAP_OF_ONE, TEXT_OF_ONE, 'x'.code.toByte()) +
+                ByteArray(100_000) { LIST_OF_ONE },
+            FrameFault.NOT_DECODABLE
+        ),
+        BadCase(
+            "a list of more elements than there are bytes",
+            byteArrayOf(2, LONG_LIST) + byteArrayOf(0x7f, -1, -1, -1, -1, -1, -1, -1),
+            FrameFault.NOT_DECODABLE
+        )
     )
 
     @Example
@@ -65,4 +76,14 @@
         codec.decode(bytes)
         codec.decode(byteArrayOf(2) + bytes)
     }
+
+    private companion object {
+        // Initial bytes of CBOR items.
+        const val LIST_OF_ONE = 0x81.toByte()
+        const val MAP_OF_ONE = 0xa1.toByte()
+        const val TEXT_OF_ONE = 0x61.toByte()
+
+        /** A list whose length follows in eight bytes. */
+        const val LONG_LIST = 0x9b.toByte()
+    }
 }
