--- a/core/common/src/main/kotlin/org/hyssoprack/common/CatchAny.kt
+++ b/core/common/src/main/kotlin/org/hyssoprack/common/CatchAny.kt
@@ -6,8 +6,8 @@
 import kotlin.coroutines.cancellation.CancellationException
 
 /**
- * Returns the result of [block], or what it threw. Other than `Either.catch` it also returns a
- * stack overflow, which ends only the call that caused it.
+ * Returns the result of [block], or what it threw. Unlike `Either.catch` it also returns a stack
+ * overflow, since the process can go on after one.
  */
 inline fun <T> catchAny(block: () -> T): Either<Throwable, T> = try {
     block().right()
--- a/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/EventSplitter.kt
+++ b/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/EventSplitter.kt
@@ -10,7 +10,7 @@
 internal class EventSplitter {
     private val pending = ByteArrayOutputStream()
 
-    /** The last two bytes of [pending]; 0 for those that there are not. */
+    /** The last two bytes of [pending]; 0 if there are fewer. */
     private var lastByte: Byte = 0
     private var byteBeforeLast: Byte = 0
 
--- a/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/ResponseReader.kt
+++ b/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/ResponseReader.kt
@@ -131,7 +131,7 @@
         // without end.
         const val MAX_RESPONSE_BYTES = 4_194_304
 
-        // A server sends a response at most a few times.
+        // Copies of earlier responses are few; more are an endless sequence.
         const val MAX_HEADS = 16
     }
 }
