Never send a request id twice on one connection

Cause: the rule of, never twice on one connection, was kept by RequestProgress, which ends with one request of a caller. The next request with the same id took the most recently used connection, on which the copy was due.

Now the connection itself knows which ids it has carried (CarriedIds), and the pool leaves it out for these. It is closed after 256 requests rather than forget one, so that the rule has no end. RequestProgress.usedConnections is gone.

--- a/gateway/api/src/main/kotlin/org/hyssoprack/gateway/ServerConnection.kt
+++ b/gateway/api/src/main/kotlin/org/hyssoprack/gateway/ServerConnection.kt
@@ -3,13 +3,26 @@
 import io.netty.handler.codec.http.HttpHeaders
 import io.netty.handler.codec.http.HttpMethod
 
-/** A connection to a server that carries one exchange at a time. */
+/**
+ * A connection to a server that carries one exchange at a time. It carries each request id once: a
+ * late copy of the first response would be taken for the second, since both have the id.
+ */
 interface ServerConnection {
     /** Whether it has carried an exchange before. */
     val isReused: Boolean
 
-    /** Writes a complete request. */
-    fun send(method: HttpMethod, uri: String, headers: HttpHeaders, body: ByteArray)
+    /**
+     * Writes a complete request.
+     *
+     * @param requestId the request's id; null if its response will bear none.
+     */
+    fun send(
+        method: HttpMethod,
+        uri: String,
+        headers: HttpHeaders,
+        body: ByteArray,
+        requestId: String? = null
+    )
 
     /** Waits for the next part of the response. */
     suspend fun next(): ResponsePart
--- a/gateway/api/src/main/kotlin/org/hyssoprack/gateway/ServerConnections.kt
+++ b/gateway/api/src/main/kotlin/org/hyssoprack/gateway/ServerConnections.kt
@@ -7,13 +7,15 @@
 /** Opens connections to servers and keeps idle ones. */
 interface ServerConnections {
     /**
-     * Returns an idle connection to [address] that is not one of [except], or a new one. Fails with
-     * BACKEND_REFUSED if none can be opened; nothing has been sent in that case.
+     * Returns an idle connection to [address] that has not carried a request with [requestId], or a
+     * new one. Fails with BACKEND_REFUSED if none can be opened; nothing has been sent in that case.
+     *
+     * @param requestId id of the request to be sent; null if its response will bear none.
      */
     suspend fun open(
         address: NetworkAddress,
         connectTimeoutMs: Int,
-        except: Set<ServerConnection> = emptySet()
+        requestId: String? = null
     ): Either<Failure, ServerConnection>
 
     /** Closes the idle connections to [address]. */
--- a/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/RequestPlacement.kt
+++ b/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/RequestPlacement.kt
@@ -79,8 +79,8 @@
         val slot = granted.slot
         try {
             val address = slot.state.server.address
-            val used = progress.usedConnections
-            val connection = connections.open(address, CONNECT_TIMEOUT_MS, used).getOrElse {
+            val id = granted.call.metadata.id
+            val connection = connections.open(address, CONNECT_TIMEOUT_MS, id).getOrElse {
                 connections.forget(address)
                 slot.release(SlotResult(SlotOutcome.UNREACHABLE))
                 retryBudget.giveBack(granted.call.service)
--- a/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/RequestProgress.kt
+++ b/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/RequestProgress.kt
@@ -2,7 +2,6 @@
 
 import org.hyssoprack.common.BackendServerId
 import org.hyssoprack.common.PromptPartId
-import org.hyssoprack.gateway.ServerConnection
 import org.hyssoprack.gateway.forwarding.slots.QuotaCharge
 
 /**
@@ -21,12 +20,6 @@
     /** Rate limit of the last server that was granted, in requests per second; null for none. */
     var limitPerS: Double? = null
 
-    /**
-     * Connections on which the request was sent. It is never sent twice on one: a late copy of the
-     * first response would be taken for the second, since both have the request's id.
-     */
-    val usedConnections = HashSet<ServerConnection>()
-
     /** Number of attempts, including repeated ones on the same server. */
     var attempts = 0
 
--- a/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/ServerAttempt.kt
+++ b/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/ServerAttempt.kt
@@ -89,7 +89,7 @@
     private suspend fun connect() = connections.open(
         address = state.server.address,
         connectTimeoutMs = RequestPlacement.CONNECT_TIMEOUT_MS,
-        except = progress.usedConnections
+        requestId = call.metadata.id
     )
 
     private fun unreachable(detail: String): AttemptResult {
@@ -104,14 +104,14 @@
             remainingMs = (call.endMs - clock.nowMs()).coerceAtLeast(1),
             lastEventId = relay.lastEventId
         )
-        progress.usedConnections += connection
         progress.arrivals++
         progress.runs++
         connection.send(
             method = request.method,
             uri = request.uri,
             headers = wire.dispatchHeaders(request.headers, metadata),
-            body = request.body
+            body = request.body,
+            requestId = call.metadata.id
         )
     }
 
--- a/gateway/forwarding/src/test/kotlin/org/hyssoprack/gateway/forwarding/failover/ScriptedServers.kt
+++ b/gateway/forwarding/src/test/kotlin/org/hyssoprack/gateway/forwarding/failover/ScriptedServers.kt
@@ -48,7 +48,7 @@
     override suspend fun open(
         address: NetworkAddress,
         connectTimeoutMs: Int,
-        except: Set<ServerConnection>
+        requestId: String?
     ): Either<Failure, ServerConnection> {
         delay(openDelayMs)
         val isRefused = opened++ in refusedOpens || address in down
@@ -81,10 +81,16 @@
 
         override val isReused = false
 
-        override fun send(method: HttpMethod, uri: String, headers: HttpHeaders, body: ByteArray) {
+        override fun send(
+            method: HttpMethod,
+            uri: String,
+            headers: HttpHeaders,
+            body: ByteArray,
+            requestId: String?
+        ) {
             sentMs = clock.nowMs()
             isRepeat = exchanges.any { it.requestId == headers[REQUEST_ID] }
-            requestId = headers[REQUEST_ID]
+            this.requestId = headers[REQUEST_ID]
             exchanges += this
             from = headers[LAST_EVENT_ID]?.toInt() ?: 0
             val shared = PlainWireFormat.partsOf(headers)
--- a/gateway/netty/src/main/kotlin/org/hyssoprack/gateway/netty/NettyServerConnection.kt
+++ b/gateway/netty/src/main/kotlin/org/hyssoprack/gateway/netty/NettyServerConnection.kt
@@ -40,6 +40,7 @@
     private var isInterim = false
     private var interimCount = 0
     private var exchanges = 0
+    private val carried = CarriedIds()
 
     var channel: Channel? = null
         private set
@@ -50,8 +51,19 @@
     val isUsable: Boolean
         get() = isReusable && !isAwaitingResponse && channel?.isActive == true
 
-    override fun send(method: HttpMethod, uri: String, headers: HttpHeaders, body: ByteArray) {
+    /** Whether a request with [id] was sent on this connection. */
+    fun hasCarried(id: String): Boolean = id in carried
+
+    override fun send(
+        method: HttpMethod,
+        uri: String,
+        headers: HttpHeaders,
+        body: ByteArray,
+        requestId: String?
+    ) {
         exchanges++
+        if (requestId != null) carried += requestId
+        if (carried.size >= MAX_CARRIED_IDS) isReusable = false
         interimCount = 0
         isAwaitingResponse = true
         val request = DefaultFullHttpRequest(
@@ -187,6 +199,9 @@
         // Servers send at most one or two interim responses; more indicate an endless sequence.
         const val MAX_INTERIM_RESPONSES = 8
 
+        // Bounds the memory for ids; a connection is closed rather than forget one of them.
+        const val MAX_CARRIED_IDS = 256
+
         // Buffered parts and bytes at which reading from the server stops, because the caller reads
         // slowly. They also bound the work on one connection between two turns of the event loop.
         const val STOP_PARTS = 64
--- a/gateway/netty/src/main/kotlin/org/hyssoprack/gateway/netty/NettyServerConnections.kt
+++ b/gateway/netty/src/main/kotlin/org/hyssoprack/gateway/netty/NettyServerConnections.kt
@@ -30,9 +30,9 @@
     override suspend fun open(
         address: NetworkAddress,
         connectTimeoutMs: Int,
-        except: Set<ServerConnection>
+        requestId: String?
     ): Either<Failure, ServerConnection> {
-        val pooled = takeIdle(address, except)
+        val pooled = takeIdle(address, requestId)
         return pooled?.right() ?: connect(address, connectTimeoutMs)
     }
 
@@ -52,19 +52,19 @@
         idle.values.removeIf { it.isEmpty() }
     }
 
-    private fun takeIdle(
-        address: NetworkAddress,
-        except: Set<ServerConnection>
-    ): NettyServerConnection? {
+    private fun takeIdle(address: NetworkAddress, requestId: String?): NettyServerConnection? {
         val list = idle[address] ?: return null
         while (true) {
-            val last = list.lastOrNull { it.connection !in except } ?: return null
+            val last = list.lastOrNull { !hasCarried(it.connection, requestId) } ?: return null
             list.remove(last)
             if (last.connection.isUsable && clock.nowMs() < last.untilMs) return last.connection
             last.connection.close()
         }
     }
 
+    private fun hasCarried(connection: NettyServerConnection, id: String?) =
+        id != null && connection.hasCarried(id)
+
     private suspend fun connect(
         address: NetworkAddress,
         timeoutMs: Int
--- a/gateway/netty/src/test/kotlin/org/hyssoprack/gateway/netty/NettyServerConnectionsTest.kt
+++ b/gateway/netty/src/test/kotlin/org/hyssoprack/gateway/netty/NettyServerConnectionsTest.kt
@@ -2,6 +2,8 @@
 
 import arrow.core.getOrElse
 import assertk.assertThat
+import assertk.assertions.isGreaterThan
+import assertk.assertions.isNotSameInstanceAs
 import assertk.assertions.isSameInstanceAs
 import assertk.assertions.isTrue
 import io.netty.handler.codec.http.DefaultHttpHeaders
@@ -28,29 +30,54 @@
     )
 
     @Example
-    fun `a request gets the most recently used connection that it has not used`() = runBlocking {
+    fun `a request gets the most recently used connection that has not carried its id`() =
+        runBlocking {
+            withContext(loop.dispatcher) {
+                val (first, second) = List(2) { open() }
+                exchange(first, "a")
+                exchange(second, "b")
+                first.release(IDLE_MS)
+                second.release(IDLE_MS)
+                assertThat(open("b")).isSameInstanceAs(first)
+                val new = open("b")
+                assertThat(new !== first && new !== second).isTrue()
+                assertThat(open("c")).isSameInstanceAs(second)
+            }
+        }
+
+    @Example
+    fun `an id is not forgotten for as long as its connection is used`() = runBlocking {
         withContext(loop.dispatcher) {
-            val (first, second) = List(2) { open() }.onEach { exchange(it) }
-            first.release(IDLE_MS)
-            second.release(IDLE_MS)
-            assertThat(open(except = setOf(second))).isSameInstanceAs(first)
-            val new = open(except = setOf(second))
-            assertThat(new !== first && new !== second).isTrue()
-            assertThat(open()).isSameInstanceAs(second)
+            val connection = open()
+            var carried = 0
+            while (true) {
+                exchange(connection, "id${carried++}")
+                connection.release(IDLE_MS)
+                if (open("another") !== connection) break
+            }
+            assertThat(carried).isGreaterThan(MANY)
+            val next = open()
+            repeat(MANY) {
+                exchange(next, "id$it")
+                next.release(IDLE_MS)
+                assertThat(open("id0"), "after $it others").isNotSameInstanceAs(next)
+                assertThat(open("another"), "after $it others").isSameInstanceAs(next)
+            }
         }
     }
 
-    private suspend fun open(except: Set<ServerConnection> = emptySet()) =
-        connections.open(address, CONNECT_MS, except).getOrElse { error("$it") }
+    private suspend fun open(requestId: String? = null) =
+        connections.open(address, CONNECT_MS, requestId).getOrElse { error("$it") }
 
-    private suspend fun exchange(connection: ServerConnection) {
+    private suspend fun exchange(connection: ServerConnection, requestId: String) {
         val headers = DefaultHttpHeaders().set("Host", "h")
-        connection.send(HttpMethod.GET, "/", headers, ByteArray(0))
+        connection.send(HttpMethod.GET, "/", headers, ByteArray(0), requestId)
         while (connection.next() != ResponsePart.End) Unit
     }
 
     private companion object {
         const val CONNECT_MS = 5_000
         const val IDLE_MS = 30_000L
+        const val MANY = 100
     }
 }
