Send the head of a stream with its first event

Cause: StreamRelay wrote the head as soon as a server sent it. Until the first event nothing is lost by waiting, and what the next server answers can be given as it is; if it succeeds, the caller has that server's head and seal.

Evidence: BrokenStreamTest, "a stream that is broken off before its first event is answered by what follows", failed before: 200 (aborted) where the next server had answered 500. Settings and queues still treat such a stream as started (ResumeAfterSettingsTest failed in a trial that did not).

After its first event a stream that ends with a failure of its next server is cut off as before.

--- a/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/RequestProgress.kt
+++ b/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/RequestProgress.kt
@@ -38,7 +38,7 @@
     /** Monotonic time of the first byte of the response body; null before it. */
     var firstByteMs: Long? = null
 
-    /** Whether the head of a stream has been sent to the caller. */
+    /** Whether a server has sent the head of a stream; the caller has it from the first event on. */
     var isStarted = false
 
     /** Monotonic time at which the caller was last sent an event; null before the first. */
--- a/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/ServerAttempt.kt
+++ b/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/ServerAttempt.kt
@@ -265,7 +265,7 @@
     /**
      * Returns whether a stream has sent no complete event for [STALL_MS], even if it sends bytes.
      */
-    private fun isWithoutProgress(): Boolean = promptRead && relay.isStarted && silentMs >= STALL_MS
+    private fun isWithoutProgress(): Boolean = promptRead && silentMs >= STALL_MS
 
     /** Returns what [end] shows about the server. */
     private fun resultOf(end: AttemptResult): SlotResult = when (end) {
--- a/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/StreamRelay.kt
+++ b/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/StreamRelay.kt
@@ -8,23 +8,28 @@
     private val events = EventSplitter()
     private var servers = 0
 
+    /** Head of the current server's response, while the caller has no event. */
+    private var head: Head? = null
+
+    private class Head(val status: Int, val headers: HttpHeaders)
+
     /** Id of the last event sent to the caller; null before the first. */
     val lastEventId: String? get() = events.lastEventId
 
-    /** Whether the head of the response has been sent to the caller. */
-    val isStarted: Boolean get() = answer.isStarted
-
     /** Whether no incomplete event is buffered. */
     val isWhole: Boolean get() = !events.hasPartialEvent
 
     /** Whether the whole stream so far came from one server. */
     val isFromOneServer: Boolean get() = servers == 1
 
-    /** Writes the head, unless that of an earlier server was written already. */
-    suspend fun begin(status: Int, headers: HttpHeaders) {
+    /**
+     * Begins the response of a server. Its head is written with the first event: until then, what
+     * another server answers can still be given to the caller as it is.
+     */
+    fun begin(status: Int, headers: HttpHeaders) {
         events.dropPartial()
         servers++
-        if (!answer.isStarted) answer.start(status, headers)
+        head = Head(status, headers)
     }
 
     /** Number of bytes buffered because their event is incomplete. */
@@ -38,8 +43,18 @@
         val complete = events.add(bytes)
         if (complete.isEmpty()) return
         onEvents()
+        writeHead()
         answer.send(complete)
     }
 
-    suspend fun end() = answer.end()
+    suspend fun end() {
+        writeHead()
+        answer.end()
+    }
+
+    private suspend fun writeHead() {
+        val first = head ?: return
+        head = null
+        if (!answer.isStarted) answer.start(first.status, first.headers)
+    }
 }
--- a/gateway/forwarding/src/test/kotlin/org/hyssoprack/gateway/forwarding/failover/BrokenStreamTest.kt
+++ b/gateway/forwarding/src/test/kotlin/org/hyssoprack/gateway/forwarding/failover/BrokenStreamTest.kt
@@ -6,6 +6,7 @@
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.test.runTest
 import net.jqwik.api.Example
+import org.hyssoprack.common.ResultCode
 import org.hyssoprack.serving.settings.RouteKind
 
 class BrokenStreamTest {
@@ -115,6 +116,43 @@
         assertThat(host.servers.exchanges.count { it.isRepeat }).isEqualTo(2)
     }
 
+    /** Guards against a success whose server had answered with a failure, or had given no event. */
+    @Example
+    fun `a stream that is broken off before its first event is answered by what follows`() {
+        class Case(val name: String, val kind: RouteKind, val next: Int, val status: Int)
+        val cases = listOf(
+            Case("the next server fails", RouteKind.RESUMABLE_STREAM, next = 500, status = 500),
+            Case("the next server succeeds", RouteKind.RESUMABLE_STREAM, next = 200, status = 200),
+            Case(
+                "it may not run again",
+                RouteKind.STREAM,
+                next = 200,
+                status = ResultCode.STREAM_BROKEN.httpStatus
+            )
+        )
+        for (case in cases) {
+            runTest {
+                val host = ForwardingFixture(this, serverCount = 2)
+                host.scriptAll { exchange, response ->
+                    if (exchange > 0) return@scriptAll answer(response, case.next)
+                    response.head()
+                    response.bytes("id: 1\nda")
+                    response.lose()
+                }
+                val (response, _) = host.send(case.kind)
+                delay(ForwardingFixture.TIMEOUT_MS)
+                assertThat(response.status, case.name).isEqualTo(case.status)
+                assertThat(response.isAborted, case.name).isEqualTo(false)
+                assertThat(response.isComplete, case.name).isTrue()
+            }
+        }
+    }
+
+    private fun answer(response: ScriptedServers.Response, status: Int) {
+        response.head(status)
+        if (status == 200) finish(response) else response.end()
+    }
+
     private suspend fun breakOff(response: ScriptedServers.Response, lostAfterMs: Long) {
         response.event(1)
         delay(lostAfterMs)
