Number the messages of two runs of a host apart

Seen in a test: a daemon that had restarted asked the host of a request's first attempt to give it up, and took that host's late answer to its own former run, about another request, for the answer. It got the promise that the request never runs though the first host had dispatched it, so that the request would have run twice.

Cause: an answer names the number of its question only, numbers began at 1 in every run, and messages are addressed to a host, not to a run of it.

Evidence: RetryCoordinatorTest, the case of the former run, failed before (FIRST_ATTEMPT_UNKNOWN expected, the request was taken over).

The format of the messages stays, so hosts of older builds answer as before.

--- a/host/src/main/kotlin/org/hyssoprack/host/RetryCoordinator.kt
+++ b/host/src/main/kotlin/org/hyssoprack/host/RetryCoordinator.kt
@@ -4,13 +4,13 @@
 import arrow.core.left
 import arrow.core.right
 import java.util.concurrent.ConcurrentHashMap
-import java.util.concurrent.atomic.AtomicLong
 import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.withTimeoutOrNull
 import org.hyssoprack.common.Failure
 import org.hyssoprack.common.HostId
 import org.hyssoprack.common.HostMessage
 import org.hyssoprack.common.HostRef
+import org.hyssoprack.common.MessageNumbers
 import org.hyssoprack.common.RequestId
 import org.hyssoprack.common.ResultCode
 
@@ -20,7 +20,7 @@
     private val registry: RequestRegistry,
     private val send: (HostId, HostMessage) -> Unit
 ) {
-    private val sequences = AtomicLong()
+    private val sequences = MessageNumbers(self.incarnation)
     private val pending = ConcurrentHashMap<Long, PendingGiveUp>()
 
     /**
@@ -63,7 +63,7 @@
     }
 
     private suspend fun requestGiveUp(id: RequestId, origin: HostRef): GiveUpResult? {
-        val sequence = sequences.incrementAndGet()
+        val sequence = sequences.next()
         val pendingGiveUp = PendingGiveUp(to = origin, result = CompletableDeferred())
         pending[sequence] = pendingGiveUp
         try {
--- a/host/src/test/kotlin/org/hyssoprack/host/RetryCoordinatorTest.kt
+++ b/host/src/test/kotlin/org/hyssoprack/host/RetryCoordinatorTest.kt
@@ -2,6 +2,7 @@
 
 import assertk.assertThat
 import assertk.assertions.isEqualTo
+import assertk.assertions.isTrue
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.launch
 import kotlinx.coroutines.runBlocking
@@ -44,6 +45,39 @@
         runBlocking { assertThat(takeOver(case), case.name).isEqualTo(case.expected) }
     }
 
+    @Example
+    fun `an answer to a former run of this host is not taken for one to this run`() = runBlocking {
+        val registry = RequestRegistry(ManualClock()) { false }
+        val dispatched = RequestId.of(first, "2")
+        registry.begin(dispatched)
+        val answers = ArrayList<RetryMessage>()
+        val firstHost = RetryCoordinator(first, registry) { _, message ->
+            answers += message as RetryMessage
+        }
+        lateinit var formerRun: RetryCoordinator
+        formerRun = coordinator(second) { message ->
+            launch {
+                firstHost.receive(second, message)
+                formerRun.receive(first, answers.last())
+            }
+        }
+        assertThat(formerRun.takeOver(RequestId.of(first, "1")).isRight()).isTrue()
+        val restarted = HostRef(second.host, Incarnation(second.incarnation.value + 1))
+        lateinit var thisRun: RetryCoordinator
+        thisRun = coordinator(restarted) { message ->
+            launch {
+                firstHost.receive(restarted, message)
+                answers.forEach { thisRun.receive(first, it) }
+            }
+        }
+        assertThat(thisRun.takeOver(dispatched).leftOrNull()?.code).isEqualTo(UNKNOWN)
+    }
+
+    private fun coordinator(self: HostRef, send: (RetryMessage) -> Unit) =
+        RetryCoordinator(self, RequestRegistry(ManualClock()) { false }) { _, message ->
+            send(message as RetryMessage)
+        }
+
     private suspend fun CoroutineScope.takeOver(case: Case): ResultCode? {
         val id = RequestId.of(case.origin, "1")
         val registry = RequestRegistry(ManualClock(), giveUpWaiting = { false })
