Say in link-broken how a peer's connection ended

By a test on plain sockets it is what a peer's ordinary close between two frames gave, and an end within a frame's length; an end after the length gave "Channel is already closed".

Cause: the texts are those of the reads of a length and of a body at the end of the stream.

Change: the end is recognized before a frame is read ("the peer closed the connection") and within one ("the peer's connection ended within a frame"); a reset keeps its text. The name of the event stays.

BrokenLinkTest failed before ("Not enough data available").

--- a/link/tcp/src/main/kotlin/org/hyssoprack/link/tcp/FrameSocket.kt
+++ b/link/tcp/src/main/kotlin/org/hyssoprack/link/tcp/FrameSocket.kt
@@ -9,6 +9,8 @@
 import io.ktor.utils.io.readInt
 import io.ktor.utils.io.writeFully
 import io.ktor.utils.io.writeInt
+import java.io.EOFException
+import java.io.IOException
 
 /** Reads and writes length-prefixed frames on one socket; throws the socket's exceptions. */
 internal class FrameSocket(
@@ -22,6 +24,15 @@
 
     /** Reads one frame; calls [onBytes] for each part of it that arrives. */
     suspend fun read(onBytes: () -> Unit = {}): Either<FrameFault, Frame> {
+        if (!input.awaitContent()) throw EOFException("the peer closed the connection")
+        return try {
+            readFrame(onBytes)
+        } catch (e: IOException) {
+            throw endWithinFrame(e)
+        }
+    }
+
+    private suspend fun readFrame(onBytes: () -> Unit): Either<FrameFault, Frame> {
         val length = input.readInt()
         onBytes()
         if (length > maxFrameBytes || length < 0) return FrameFault.TOO_LARGE.left()
@@ -38,6 +49,11 @@
         return codec.decode(bytes)
     }
 
+    private fun endWithinFrame(end: IOException): IOException {
+        val isReset = input.closedCause != null
+        return if (isReset) end else EOFException("the peer's connection ended within a frame")
+    }
+
     /** Buffers a frame until [flush] and returns its size in bytes, or why it was not encoded. */
     suspend fun write(frame: Frame): Either<FrameFault, Int> = codec.encode(frame).map { bytes ->
         output.writeInt(bytes.size)
--- a/link/tcp/src/test/kotlin/org/hyssoprack/link/tcp/RawPeer.kt
+++ b/link/tcp/src/test/kotlin/org/hyssoprack/link/tcp/RawPeer.kt
@@ -42,6 +42,15 @@
 
     fun writeLength(length: Int) = output.writeInt(length)
 
+    /** Writes [bytes] as they are, as a part of a frame. */
+    fun writePart(bytes: ByteArray) = output.write(bytes)
+
+    /** Ends the connection with a reset. */
+    fun reset() {
+        socket.setSoLinger(true, 0)
+        socket.close()
+    }
+
     /** Reads the next frame; null once the link has closed the connection. */
     fun read(): Frame? = try {
         val bytes = ByteArray(input.readInt())
