Number the requests of two runs of a host for slots and rows apart

A host that restarts within its first requests could take a late reply to its former run for the reply to one of its own: the rows of another table as the settings, or a slot that was granted for another request.

Cause: numbers of SharedFeeds and SlotClient began at 1 in each run, a reply names its number only, and messages go to a host, not to a run of it.

Both number by MessageNumbers now, as RetryCoordinator does. The format of the messages stays.

--- a/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/feeds/SharedFeeds.kt
+++ b/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/feeds/SharedFeeds.kt
@@ -8,6 +8,8 @@
 import org.hyssoprack.common.Clock
 import org.hyssoprack.common.HostId
 import org.hyssoprack.common.HostRef
+import org.hyssoprack.common.Incarnation
+import org.hyssoprack.common.MessageNumbers
 import org.hyssoprack.link.Link
 import org.hyssoprack.store.KnownEra
 import org.hyssoprack.store.StorePosition
@@ -15,8 +17,11 @@
 /**
  * Replicas of the store's tables on this host. Replies to requests of other hosts from them, and
  * sends requests to other hosts.
+ *
+ * @param run the run of this host, which numbers its requests.
  */
 class SharedFeeds(
+    run: Incarnation,
     private val link: Link,
     private val clock: Clock,
     private val scope: CoroutineScope,
@@ -25,7 +30,7 @@
     private val replicas = HashMap<String, TableReplica>()
     private val heldRequests = HashMap<String, ArrayList<HeldRequest>>()
     private val pending = HashMap<Long, CompletableDeferred<FeedMessage>>()
-    private var lastNumber = 0L
+    private val numbers = MessageNumbers(run)
 
     private class HeldRequest(val from: HostId, val request: FeedMessage.Request)
 
@@ -60,7 +65,7 @@
         position: StorePosition?,
         waitMs: Long
     ): FeedMessage? {
-        val number = ++lastNumber
+        val number = numbers.next()
         val answer = CompletableDeferred<FeedMessage>()
         pending[number] = answer
         try {
--- a/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/slots/SlotClient.kt
+++ b/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/slots/SlotClient.kt
@@ -11,6 +11,7 @@
 import org.hyssoprack.common.FailureDomain
 import org.hyssoprack.common.HostId
 import org.hyssoprack.common.HostRef
+import org.hyssoprack.common.MessageNumbers
 import org.hyssoprack.common.ResultCode
 import org.hyssoprack.common.ServiceId
 import org.hyssoprack.common.eq
@@ -48,7 +49,7 @@
     private val peerReports = PeerReports(self.host, pools.parts, peers, send)
     private val pending = HashMap<Long, PendingRequest>()
     private val running = HashMap<Long, Slot>()
-    private var lastNumber = 0L
+    private val numbers = MessageNumbers(self.incarnation)
     private var knownOwner: HostId? = null
     private var reportedMs = Long.MIN_VALUE / 2
     private var reportedLeaving = 0
@@ -205,7 +206,7 @@
     ): Either<Failure, Slot>? {
         val unusable = HashSet<BackendServerId>()
         repeat(MAX_REQUESTS) {
-            val number = ++lastNumber
+            val number = numbers.next()
             val pendingRequest = PendingRequest(owner)
             pending[number] = pendingRequest
             try {
@@ -306,7 +307,7 @@
         }
         return pools[request.service].acquire(request)
             .onLeft { if (charge != null && isChargedHere) refund(charge) }
-            .map { slot(++lastNumber, request, null, it.load.promptTokens, true, it) }
+            .map { slot(numbers.next(), request, null, it.load.promptTokens, true, it) }
     }
 
     private fun slot(
--- a/gateway/forwarding/src/test/kotlin/org/hyssoprack/gateway/forwarding/feeds/FeedFleet.kt
+++ b/gateway/forwarding/src/test/kotlin/org/hyssoprack/gateway/forwarding/feeds/FeedFleet.kt
@@ -99,7 +99,7 @@
         RowFeed,
         FeedSink {
         val ref = HostRef(id, Incarnation(1))
-        val feeds = SharedFeeds(HostLink(this), clock, scope)
+        val feeds = SharedFeeds(ref.incarnation, HostLink(this), clock, scope)
         var storePath = StorePath.OPEN
         var isMute = false
         var isDeaf = false
--- a/gateway/forwarding/src/test/kotlin/org/hyssoprack/gateway/forwarding/feeds/SharedRowFeedTest.kt
+++ b/gateway/forwarding/src/test/kotlin/org/hyssoprack/gateway/forwarding/feeds/SharedRowFeedTest.kt
@@ -77,8 +77,8 @@
         val store = StoreFeed()
         private val requesterLink = DirectLink(ref("requester"), isCut)
         private val readerLink = DirectLink(ref("reader"), isCut)
-        private val requester = SharedFeeds(requesterLink, clock, scope)
-        private val reader = SharedFeeds(readerLink, clock, scope)
+        private val requester = SharedFeeds(Incarnation(1), requesterLink, clock, scope)
+        private val reader = SharedFeeds(Incarnation(1), readerLink, clock, scope)
         val replica = reader.replica(TABLE)
         val observer = TableReplicaUpdater(TABLE, reader)
         val feed = SharedRowFeed(
--- a/gateway/forwarding/src/test/kotlin/org/hyssoprack/gateway/forwarding/slots/SlotClientTest.kt
+++ b/gateway/forwarding/src/test/kotlin/org/hyssoprack/gateway/forwarding/slots/SlotClientTest.kt
@@ -65,6 +65,21 @@
         Unit
     }
 
+    @Example
+    fun `a grant to a former run of this host goes back and is not used by this run`() =
+        runBlocking {
+            val former = async { client.acquire(request(), charge = null) }
+            val before = lastRequest(first)
+            former.cancel()
+            val thisRun = client(firstReplyMs = HANG_MS, run = 2)
+            val acquiring = async { thisRun.acquire(request(), charge = null) }
+            val number = lastRequest(first)
+            thisRun.receive(first, SlotMessage.Granted(before, server))
+            assertThat(sent.last()).isEqualTo(first.host to SlotMessage.Cancelled(before))
+            thisRun.receive(first, SlotMessage.Granted(number, server))
+            assertThat(acquiring.await().getOrNull()!!.owner).isEqualTo(first.host)
+        }
+
     @Example
     fun `around a hand-over only one of two owners' grants is used`() = runBlocking {
         val acquiring = async { client.acquire(request(), charge = null) }
@@ -235,8 +250,8 @@
         return (request as SlotMessage.Request).number
     }
 
-    private fun client(firstReplyMs: Long) = SlotClient(
-        self = ref("self"),
+    private fun client(firstReplyMs: Long, run: Long = 1) = SlotClient(
+        self = HostRef(HostId("self"), Incarnation(run)),
         domain = FailureDomain("z"),
         pools = pools,
         quota = quota,
