--- a/core/common/src/main/kotlin/org/hyssoprack/common/EventLog.kt
+++ b/core/common/src/main/kotlin/org/hyssoprack/common/EventLog.kt
@@ -4,4 +4,10 @@
 interface EventLog {
     /** Records [name] with [fields], in their order. */
     fun event(name: String, vararg fields: LogField)
+
+    /**
+     * Records an event of normal operation, such as a plain success. A log with a limit leaves
+     * these out before others.
+     */
+    fun routine(name: String, vararg fields: LogField) = event(name, *fields)
 }
