Log each send of a request and which one gave the answer

From what a host logged nobody could say which send, on which connection, gave the answer that a caller got.

request-sends is one line beside request-ended, for a request that was sent more than once or whose responses came after skipped ones. For each send it tells the server, the number of the connection, which use of it, the status, what became of the response, and how many responses were skipped before it and why; the first seven sends and the last are listed, the others counted. Connections to servers are numbered. hyssoprack.responses.skipped counts the skipped responses by reason.

A plain success that was sent once is a routine line, and is left out first.

RequestSendsTest plays a refusal, another server's answer, a failure, a copy of another request's answer and a stream that goes on at another server on a real host; SendTraceTest bounds the line of 1000 sends.

--- a/gateway/api/src/main/kotlin/org/hyssoprack/gateway/ServerConnection.kt
+++ b/gateway/api/src/main/kotlin/org/hyssoprack/gateway/ServerConnection.kt
@@ -8,8 +8,14 @@
  * late copy of the first response would be taken for the second, since both have the id.
  */
 interface ServerConnection {
-    /** Whether it has carried an exchange before. */
-    val isReused: Boolean
+    /** Number of the connection among those that this host has opened to servers, from 1. */
+    val number: Long
+
+    /** Number of exchanges that it has carried, including one in progress. */
+    val exchangeCount: Int
+
+    /** Whether it has carried an exchange before the one in progress. */
+    val isReused: Boolean get() = exchangeCount > 1
 
     /**
      * Writes a complete request.
--- a/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/RequestForwarder.kt
+++ b/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/RequestForwarder.kt
@@ -133,7 +133,10 @@
             giveBack = placement::giveBack
         )
         val attempt = attempt(request, granted, progress, relay, search)
-        attempt.run().also { telemetry.recordAttempt(granted.call, server.server.id, attempt, it) }
+        attempt.run().also {
+            progress.sends.recordResult(it)
+            telemetry.recordAttempt(granted.call, server.server.id, attempt, it)
+        }
     }
 
     private fun attempt(
--- a/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/RequestProgress.kt
+++ b/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/RequestProgress.kt
@@ -23,8 +23,10 @@
     /** Number of attempts, including repeated ones on the same server. */
     var attempts = 0
 
+    val sends = SendTrace()
+
     /** Number of times the request was sent to a server. */
-    var arrivals = 0
+    val arrivals: Int get() = sends.count
 
     /** Number of sends after which the request may have run. */
     var runs = 0
@@ -43,4 +45,11 @@
 
     /** Monotonic time at which the caller was last sent an event; null before the first. */
     var lastEventMs: Long? = null
+        private set
+
+    /** Records that events of the current server are sent to the caller at [ms]. */
+    fun recordEvents(ms: Long) {
+        lastEventMs = ms
+        sends.recordEvents()
+    }
 }
--- a/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/RequestTelemetry.kt
+++ b/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/RequestTelemetry.kt
@@ -6,6 +6,7 @@
 import org.hyssoprack.common.Clock
 import org.hyssoprack.common.EventLog
 import org.hyssoprack.common.Failure
+import org.hyssoprack.common.LogField
 import org.hyssoprack.common.eq
 import org.hyssoprack.gateway.RequestMetadata
 import org.hyssoprack.serving.settings.ActiveSettings
@@ -72,24 +73,59 @@
             recordTime("hyssoprack.first.event", call, it - call.arrivedMs)
         }
         progress.grantedMs?.let { recordTime("hyssoprack.queued", call, it - call.arrivedMs) }
+        countSkipped(progress.sends)
+        val fields = endFields(call, progress, end, nowMs)
+        if (progress.sends.isPlain && isSuccess(end)) return log.routine("request-ended", *fields)
+        if (!progress.sends.isPlain) recordSends(call, progress.sends, end)
+        log.event("request-ended", *fields)
+    }
+
+    /** Records the sends of a request, so that its response can be traced to one of them. */
+    private fun recordSends(call: AdmittedRequest, sends: SendTrace, end: RequestResult) {
         log.event(
-            "request-ended",
+            "request-sends",
             "request" eq call.metadata.id,
-            "route" eq call.route.name,
-            "account" eq call.account?.name,
-            "code" eq codeOf(end),
-            "detail" eq detailOf(end),
-            "servers" eq progress.triedServers.joinToString(","),
-            "limitPerS" eq progress.limitPerS,
-            "arrivals" eq progress.arrivals,
-            "queuedMs" eq progress.grantedMs?.minus(call.arrivedMs),
-            "firstMs" eq progress.firstByteMs?.minus(call.arrivedMs),
-            "totalMs" eq nowMs - call.arrivedMs,
-            "settings" eq call.version,
-            "settingsAgeMs" eq settings.ageMs()
+            "sent" eq sends.count,
+            "skipped" eq sends.skippedCount,
+            "sends" eq sends.describe(end),
+            "unlisted" eq sends.unlisted
         )
     }
 
+    private fun countSkipped(sends: SendTrace) = SkipReason.entries.forEach {
+        val skipped = sends.skippedCount(it)
+        if (skipped == 0) return@forEach
+        registry.counter("hyssoprack.responses.skipped", "reason", it.wireName)
+            .increment(skipped.toDouble())
+    }
+
+    private fun endFields(
+        call: AdmittedRequest,
+        progress: RequestProgress,
+        end: RequestResult,
+        nowMs: Long
+    ): Array<LogField> = arrayOf(
+        "request" eq call.metadata.id,
+        "route" eq call.route.name,
+        "account" eq call.account?.name,
+        "code" eq codeOf(end),
+        "detail" eq detailOf(end),
+        "servers" eq progress.triedServers.joinToString(","),
+        "limitPerS" eq progress.limitPerS,
+        "arrivals" eq progress.arrivals,
+        "queuedMs" eq progress.grantedMs?.minus(call.arrivedMs),
+        "firstMs" eq progress.firstByteMs?.minus(call.arrivedMs),
+        "totalMs" eq nowMs - call.arrivedMs,
+        "settings" eq call.version,
+        "settingsAgeMs" eq settings.ageMs()
+    )
+
+    private fun isSuccess(end: RequestResult): Boolean = when (end) {
+        is RequestResult.Delivered -> true
+        is RequestResult.Answered -> end.answer.status in SUCCESSES
+        is RequestResult.Failed -> false
+    }
+
     private fun codeOf(end: RequestResult): String = when (end) {
         is RequestResult.Delivered -> "ok"
         is RequestResult.Answered -> "server-${end.answer.status}"
@@ -106,4 +142,8 @@
     private fun recordTime(name: String, call: AdmittedRequest, ms: Long) {
         registry.timer(name, "route", call.route.name.value).record(Duration.ofMillis(ms))
     }
+
+    private companion object {
+        val SUCCESSES = 200..299
+    }
 }
--- a/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/ResponseReader.kt
+++ b/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/ResponseReader.kt
@@ -16,6 +16,7 @@
  * there is nothing more to read.
  *
  * @param search searches another server while this one makes no progress.
+ * @param sends records the responses to the last send.
  * @param onPart called for each part that arrives.
  * @param onSilence called when nothing has arrived for [NO_DATA_MS], and again after each further
  *   time as long.
@@ -24,6 +25,7 @@
     val connection: ServerConnection,
     private val clock: Clock,
     private val search: ReplacementSearch,
+    private val sends: SendTrace,
     private val onPart: () -> Unit,
     private val onSilence: () -> Unit
 ) {
@@ -36,12 +38,16 @@
      * belongs to another request.
      */
     suspend fun nextHead(): Either<AttemptResult, HttpResponse> {
+        if (heads > 0) sends.recordSkipped(SkipReason.OTHER_REQUEST)
         var skippedBytes = 0
         while (true) {
             when (val part = next().getOrElse { return it.left() }) {
                 is ResponsePart.Head -> {
-                    if (++heads <= MAX_HEADS) return part.response.right()
-                    return AttemptResult.Broken("$MAX_HEADS responses to other requests").left()
+                    if (++heads > MAX_HEADS) {
+                        return AttemptResult.Broken("$MAX_HEADS responses to other requests").left()
+                    }
+                    sends.recordHead(part.response.status().code())
+                    return part.response.right()
                 }
 
                 is ResponsePart.Body -> {
@@ -50,7 +56,7 @@
                 }
 
                 is ResponsePart.Lost -> return lost(part).left()
-                ResponsePart.End -> Unit
+                ResponsePart.End -> if (heads == 0) sends.recordSkipped(SkipReason.REST)
             }
         }
     }
--- a/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/ServerAttempt.kt
+++ b/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/ServerAttempt.kt
@@ -39,7 +39,6 @@
     private var promptRead = false
     private var isUnlimited = false
     private var firstMs = 0L
-
     private var hasBegun = false
 
     /** Time of the first bytes of an incomplete event; null if the last event was complete. */
@@ -104,7 +103,6 @@
             remainingMs = (call.endMs - clock.nowMs()).coerceAtLeast(1),
             lastEventId = relay.lastEventId
         )
-        progress.arrivals++
         progress.runs++
         connection.send(
             method = request.method,
@@ -113,12 +111,14 @@
             body = request.body,
             requestId = call.metadata.id
         )
+        progress.sends.recordSend(state.server.id, connection)
     }
 
     private fun readerOf(connection: ServerConnection) = ResponseReader(
         connection = connection,
         clock = clock,
         search = search,
+        sends = progress.sends,
         onPart = { state.recordActivity() },
         onSilence = {
             slot.reportStalled()
@@ -208,7 +208,7 @@
         if (tricklingSinceMs == null) tricklingSinceMs = clock.nowMs()
         relay.send(bytes) {
             recordProgress()
-            progress.lastEventMs = progressMs
+            progress.recordEvents(progressMs)
             recordBegun()
         }
     }
--- a/gateway/forwarding/src/test/kotlin/org/hyssoprack/gateway/forwarding/failover/ScriptedServers.kt
+++ b/gateway/forwarding/src/test/kotlin/org/hyssoprack/gateway/forwarding/failover/ScriptedServers.kt
@@ -79,7 +79,8 @@
         var from = 0
             private set
 
-        override val isReused = false
+        override val number = opened.toLong()
+        override val exchangeCount = 1
 
         override fun send(
             method: HttpMethod,
--- a/gateway/netty/src/main/kotlin/org/hyssoprack/gateway/netty/NettyServerConnection.kt
+++ b/gateway/netty/src/main/kotlin/org/hyssoprack/gateway/netty/NettyServerConnection.kt
@@ -24,8 +24,10 @@
 import org.hyssoprack.gateway.ServerConnection
 
 /** [ServerConnection] over a Netty channel. */
-internal class NettyServerConnection(private val onIdle: (NettyServerConnection, Long) -> Unit) :
-    ChannelInboundHandlerAdapter(),
+internal class NettyServerConnection(
+    override val number: Long,
+    private val onIdle: (NettyServerConnection, Long) -> Unit
+) : ChannelInboundHandlerAdapter(),
     ServerConnection {
     private val parts = ArrayDeque<ResponsePart>()
     private var bufferedBytes = 0
@@ -39,13 +41,13 @@
     private var isClosedHere = false
     private var isInterim = false
     private var interimCount = 0
-    private var exchanges = 0
     private val carried = CarriedIds()
 
     var channel: Channel? = null
         private set
 
-    override val isReused: Boolean get() = exchanges > 1
+    override var exchangeCount = 0
+        private set
 
     /** Whether the connection can take a new request. */
     val isUsable: Boolean
@@ -61,7 +63,7 @@
         body: ByteArray,
         requestId: String?
     ) {
-        exchanges++
+        exchangeCount++
         if (requestId != null) carried += requestId
         if (carried.size >= MAX_CARRIED_IDS) isReusable = false
         interimCount = 0
--- a/gateway/netty/src/main/kotlin/org/hyssoprack/gateway/netty/NettyServerConnections.kt
+++ b/gateway/netty/src/main/kotlin/org/hyssoprack/gateway/netty/NettyServerConnections.kt
@@ -25,6 +25,9 @@
 ) : ServerConnections {
     private val idle = HashMap<NetworkAddress, ArrayDeque<IdleConnection>>()
 
+    /** Number of connections that were opened, or tried. */
+    private var opened = 0L
+
     private class IdleConnection(val connection: NettyServerConnection, val untilMs: Long)
 
     override suspend fun open(
@@ -69,7 +72,9 @@
         address: NetworkAddress,
         timeoutMs: Int
     ): Either<Failure, ServerConnection> {
-        val connection = NettyServerConnection { idled, idleMs -> addIdle(address, idled, idleMs) }
+        val connection = NettyServerConnection(++opened) { idled, idleMs ->
+            addIdle(address, idled, idleMs)
+        }
         return Either.catch {
             bootstrap(connection, timeoutMs).connect(address.ip, address.port).awaitChannel()
             connection
