Log an attempt whose failure is held back for a retry

An attempt that a server answered with a 5xx and that was sent again wrote no attempt-ended, so the log showed one server of two. It is now end=failed with the status; the answer that the caller gets still writes none, for which request-ended stands.

--- a/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/RequestForwarder.kt
+++ b/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/RequestForwarder.kt
@@ -135,6 +135,7 @@
         val attempt = attempt(request, granted, progress, relay, search)
         attempt.run().also {
             progress.sends.recordResult(it)
+            if (isForCaller(it, granted.call, progress)) return@also
             telemetry.recordAttempt(granted.call, server.server.id, attempt, it)
         }
     }
@@ -195,10 +196,19 @@
         call: AdmittedRequest,
         progress: RequestProgress
     ): RequestResult? {
-        val isFailure = end.status >= FIRST_FAILURE
         progress.heldAnswer = end
-        if (isFailure && mayFailOver(call, progress)) return null
-        return RequestResult.Answered(end)
+        return if (isForCaller(end, call, progress)) RequestResult.Answered(end) else null
+    }
+
+    /** Whether [result] is a response for the caller, and not a failure that is retried. */
+    private fun isForCaller(
+        result: AttemptResult,
+        call: AdmittedRequest,
+        progress: RequestProgress
+    ): Boolean = when (result) {
+        is AttemptResult.Delivered -> true
+        is AttemptResult.Answered -> result.status < FIRST_FAILURE || !mayFailOver(call, progress)
+        else -> false
     }
 
     private fun afterBroken(
--- a/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/RequestTelemetry.kt
+++ b/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/RequestTelemetry.kt
@@ -30,7 +30,10 @@
         )
     }
 
-    /** Records an attempt on [server] that did not end with a response for the caller. */
+    /**
+     * Records an attempt on [server] that did not end with a response for the caller, or with a
+     * failure that is held back while the request is retried.
+     */
     internal fun recordAttempt(
         call: AdmittedRequest,
         server: BackendServerId,
@@ -38,7 +41,8 @@
         result: AttemptResult
     ) {
         val (end, reason) = when (result) {
-            is AttemptResult.Delivered, is AttemptResult.Answered -> return
+            is AttemptResult.Delivered -> return
+            is AttemptResult.Answered -> "failed" to "the server answered with a failure"
             is AttemptResult.NotRun -> "not-run" to result.reason
             is AttemptResult.Broken -> "broken" to result.reason
             is AttemptResult.Stalled -> "stalled" to result.brokenReason
@@ -49,6 +53,7 @@
             "server" eq server,
             "end" eq end,
             "reason" eq reason,
+            "status" eq (result as? AttemptResult.Answered)?.status,
             "elapsedMs" eq attempt.elapsedMs,
             "silentMs" eq attempt.silentMs
         )
