--- a/gateway/netty/src/main/kotlin/org/hyssoprack/gateway/netty/NettyServerConnection.kt
+++ b/gateway/netty/src/main/kotlin/org/hyssoprack/gateway/netty/NettyServerConnection.kt
@@ -23,9 +23,14 @@
 import org.hyssoprack.gateway.ResponsePart
 import org.hyssoprack.gateway.ServerConnection
 
-/** [ServerConnection] over a Netty channel. */
+/**
+ * [ServerConnection] over a Netty channel.
+ *
+ * @param onDropped called for each response that is not going to be read.
+ */
 internal class NettyServerConnection(
     override val number: Long,
+    private val onDropped: (DropReason) -> Unit,
     private val onIdle: (NettyServerConnection, Long) -> Unit
 ) : ChannelInboundHandlerAdapter(),
     ServerConnection {
@@ -37,6 +42,7 @@
     private var arrival: CompletableDeferred<Unit>? = null
     private var failure: String? = null
     private var isAwaitingResponse = false
+    private var isIdle = false
     private var isReusable = true
     private var isClosedHere = false
     private var isInterim = false
@@ -53,6 +59,11 @@
     val isUsable: Boolean
         get() = isReusable && !isAwaitingResponse && channel?.isActive == true
 
+    /** Takes the connection out of the pool; what it receives from now on is read. */
+    fun take() {
+        isIdle = false
+    }
+
     /** Whether a request with [id] was sent on this connection. */
     fun hasCarried(id: String): Boolean = id in carried
 
@@ -106,7 +117,10 @@
     }
 
     override fun release(idleMs: Long) {
-        if (isUsable && parts.isEmpty() && idleMs > 0) onIdle(this, idleMs) else close()
+        repeat(parts.count { it is ResponsePart.Head }) { onDropped(DropReason.AFTER_RESPONSE) }
+        if (!isUsable || parts.isNotEmpty() || idleMs <= 0) return close()
+        isIdle = true
+        onIdle(this, idleMs)
     }
 
     override fun close() {
@@ -144,8 +158,10 @@
     }
 
     private fun readHead(head: HttpResponse) {
+        val isFinal = head.status().codeClass() != HttpStatusClass.INFORMATIONAL
+        if (isIdle && isFinal) onDropped(DropReason.IDLE)
         if (head.decoderResult().isFailure) return fail("not a valid HTTP response")
-        isInterim = head.status().codeClass() == HttpStatusClass.INFORMATIONAL
+        isInterim = !isFinal
         if (isInterim) {
             if (++interimCount > MAX_INTERIM_RESPONSES) {
                 fail("more than $MAX_INTERIM_RESPONSES interim responses")
--- a/gateway/netty/src/main/kotlin/org/hyssoprack/gateway/netty/NettyServerConnections.kt
+++ b/gateway/netty/src/main/kotlin/org/hyssoprack/gateway/netty/NettyServerConnections.kt
@@ -18,10 +18,15 @@
 import org.hyssoprack.gateway.ServerConnection
 import org.hyssoprack.gateway.ServerConnections
 
-/** Connection pool by server address; reuses the most recently used connection first. */
+/**
+ * Connection pool by server address; reuses the most recently used connection first.
+ *
+ * @param onDropped called for each response that is dropped with its connection.
+ */
 class NettyServerConnections(
     private val loop: HostEventLoop,
-    private val clock: Clock = SystemClock
+    private val clock: Clock = SystemClock,
+    private val onDropped: (DropReason) -> Unit = {}
 ) : ServerConnections {
     private val idle = HashMap<NetworkAddress, ArrayDeque<IdleConnection>>()
 
@@ -60,8 +65,10 @@
         while (true) {
             val last = list.lastOrNull { !hasCarried(it.connection, requestId) } ?: return null
             list.remove(last)
-            if (last.connection.isUsable && clock.nowMs() < last.untilMs) return last.connection
-            last.connection.close()
+            val connection = last.connection
+            val isFresh = connection.isUsable && clock.nowMs() < last.untilMs
+            if (isFresh) return connection.also { it.take() }
+            connection.close()
         }
     }
 
@@ -72,7 +79,7 @@
         address: NetworkAddress,
         timeoutMs: Int
     ): Either<Failure, ServerConnection> {
-        val connection = NettyServerConnection(++opened) { idled, idleMs ->
+        val connection = NettyServerConnection(++opened, onDropped) { idled, idleMs ->
             addIdle(address, idled, idleMs)
         }
         return Either.catch {
--- a/gateway/netty/src/test/kotlin/org/hyssoprack/gateway/netty/NettyServerConnectionsTest.kt
+++ b/gateway/netty/src/test/kotlin/org/hyssoprack/gateway/netty/NettyServerConnectionsTest.kt
@@ -2,6 +2,7 @@
 
 import arrow.core.getOrElse
 import assertk.assertThat
+import assertk.assertions.isEqualTo
 import assertk.assertions.isGreaterThan
 import assertk.assertions.isNotSameInstanceAs
 import assertk.assertions.isSameInstanceAs
@@ -66,6 +67,23 @@
         }
     }
 
+    @Example
+    fun `connections are numbered, and count their exchanges`() = runBlocking {
+        withContext(loop.dispatcher) {
+            val (first, second) = List(2) { open() }
+            assertThat(listOf(first.number, second.number)).isEqualTo(listOf(1L, 2L))
+            assertThat(first.exchangeCount).isEqualTo(0)
+            exchange(first, "a")
+            assertThat(first.exchangeCount to first.isReused).isEqualTo(1 to false)
+            first.release(IDLE_MS)
+            val again = open("b")
+            exchange(again, "b")
+            assertThat(again.number).isEqualTo(1L)
+            assertThat(again.exchangeCount to again.isReused).isEqualTo(2 to true)
+            assertThat(second.exchangeCount).isEqualTo(0)
+        }
+    }
+
     private suspend fun open(requestId: String? = null) =
         connections.open(address, CONNECT_MS, requestId).getOrElse { error("$it") }
 
--- a/gateway/netty/src/test/kotlin/org/hyssoprack/gateway/netty/ServerConnectionPartsTest.kt
+++ b/gateway/netty/src/test/kotlin/org/hyssoprack/gateway/netty/ServerConnectionPartsTest.kt
@@ -75,7 +75,7 @@
     private class Opened(val handler: NettyServerConnection, val channel: EmbeddedChannel)
 
     private fun connection(): Opened {
-        val handler = NettyServerConnection(number = 1) { _, _ -> }
+        val handler = NettyServerConnection(number = 1, onDropped = {}) { _, _ -> }
         val channel = EmbeddedChannel(HttpResponseDecoder(), handler)
         handler.send(HttpMethod.GET, "/", DefaultHttpHeaders(), ByteArray(0))
         return Opened(handler, channel)
