Explain from which send the answer of a request came

explain adds the request-sends line of a request to the evidence and says in one sentence which send gave the answer, on which server and connection. The end of a request is its last request-ended or request-refused line, if there is one. A line of an earlier request with the same id is not used.

--- a/core/explain/src/main/kotlin/org/hyssoprack/explain/RequestExplainer.kt
+++ b/core/explain/src/main/kotlin/org/hyssoprack/explain/RequestExplainer.kt
@@ -14,16 +14,31 @@
      * Returns the cause of the end of [request]. Fails with BODY_INVALID if no log line has its id.
      */
     fun explain(request: String): Either<Failure, Explanation> = either {
-        val end = events.lastOrNull { it["request"] == request }
+        val own = events.filter { it["request"] == request }
+        val end = own.lastOrNull { it.name in END_EVENTS } ?: own.lastOrNull()
         ensureNotNull(end) {
             Failure(
                 ResultCode.BODY_INVALID,
                 "No log line has the request id $request; expected the logs of all hosts."
             )
         }
-        if (end.name == REQUEST_REFUSED) refused(end) else ended(end)
+        val found = if (end.name == REQUEST_REFUSED) refused(end) else ended(end)
+        sendsBefore(end, own)?.let { withSends(found, it) } ?: found
     }
 
+    /** Returns the sends that are logged with [end]: the last line of its host before it. */
+    private fun sendsBefore(end: HostEvent, own: List<HostEvent>): RequestSends? = own
+        .filter { it.host == end.host }
+        .takeWhile { it !== end }
+        .lastOrNull()
+        ?.takeIf { it.name == RequestSends.EVENT }
+        ?.let { RequestSends(it) }
+
+    private fun withSends(found: Explanation, sends: RequestSends) = found.copy(
+        summary = "${found.summary.removeSuffix(".")}. ${sends.summary()}",
+        evidence = listOf(found.evidence.first(), sends.event.line) + found.evidence.drop(1)
+    )
+
     private fun refused(end: HostEvent): Explanation {
         val code = end.number("code")?.toInt()?.let { ResultCode.ofNumber(it) }
         return when (code) {
@@ -179,6 +194,7 @@
     private companion object {
         const val REQUEST_REFUSED = "request-refused"
         const val REQUEST_ENDED = "request-ended"
+        val END_EVENTS = setOf(REQUEST_REFUSED, REQUEST_ENDED)
         val PART_EVENTS = setOf("prompt-part", "crashing-request")
         const val FIRST_ERROR_STATUS = 500
 
--- a/core/explain/src/test/kotlin/org/hyssoprack/explain/RequestExplainerTest.kt
+++ b/core/explain/src/test/kotlin/org/hyssoprack/explain/RequestExplainerTest.kt
@@ -169,6 +169,59 @@
             .isEqualTo(history.takeLast(10).map { it.substringAfter(' ') })
     }
 
+    @Example
+    fun `the sends of a request say from which of them its answer came`() {
+        class SendsCase(val sends: String, val summary: String)
+        val cases = listOf(
+            SendsCase(
+                "sent=2 skipped=0 sends=s1#12/3:503-not-run,s2#40/1:200-taken",
+                "The answer came from send 2 of 2: server s2, connection 40, use 1."
+            ),
+            SendsCase(
+                "sent=1 skipped=2 sends=s1#12/3:200-taken+2other-request",
+                "The answer came from send 1 of 1: server s1, connection 12, use 3. " +
+                    "Responses skipped: 2."
+            ),
+            SendsCase(
+                "sent=2 skipped=0 sends=s1#1/1:200-lost-part-taken,s2#2/1:200-taken",
+                "The answer came from send 1 and 2 of 2: server s1, connection 1, use 1; " +
+                    "server s2, connection 2, use 1."
+            ),
+            SendsCase(
+                "sent=2 skipped=0 sends=s1#1/1:200-lost-part-taken,s2#2/1:500-held",
+                "A part of the answer came from send 1 of 2: server s1, connection 1, use 1."
+            ),
+            SendsCase(
+                "sent=2 skipped=0 sends=s1#1/1:lost,s2#2/1:lost",
+                "No answer came from any of 2 sends."
+            ),
+            SendsCase(
+                "sent=30 skipped=0 sends=s1#1/1:lost,s2#2/1:200-taken unlisted=28",
+                "The answer came from send 30 of 30: server s2, connection 2, use 1."
+            )
+        )
+        val end = ended("10.000", "x", "ok", "servers=s1 queuedMs=0 firstMs=40 totalMs=90")
+        val later = "11.000 event=failover-refused self=a request=x code=1"
+        for (case in cases) {
+            val line = "10.000 event=request-sends self=a request=x ${case.sends}"
+            val found = explain(listOf(line, end, later))
+            assertThat(found?.cause, case.sends).isEqualTo(Cause.IN_ORDER)
+            assertThat(found?.summary.orEmpty(), case.sends)
+                .isEqualTo("The request ended with ok. ${case.summary}")
+            assertThat(found?.evidence.orEmpty(), case.sends)
+                .isEqualTo(listOf(end, line).map { it.substringAfter(' ') })
+        }
+    }
+
+    @Example
+    fun `the sends of an earlier request with the same id say nothing about the last one`() {
+        val line = "09.000 event=request-sends self=a request=x sent=2 sends=s1#1/1:200-taken"
+        val first = ended("09.000", "x", "ok", "servers=s1 totalMs=90")
+        val second = ended("10.000", "x", "ok", "servers=s1 totalMs=80")
+        assertThat(explain(listOf(line, first, second))?.summary)
+            .isEqualTo("The request ended with ok.")
+    }
+
     @Example
     fun `an id without a log line is an error`() {
         assertThat(RequestExplainer(emptyList()).explain("x").isLeft()).isTrue()
