--- a/gateway/netty/src/main/kotlin/org/hyssoprack/gateway/netty/NettyServerConnection.kt
+++ b/gateway/netty/src/main/kotlin/org/hyssoprack/gateway/netty/NettyServerConnection.kt
@@ -43,6 +43,9 @@
     private var failure: String? = null
     private var isAwaitingResponse = false
     private var isIdle = false
+
+    /** Whether a part of the request has still to be written, also after an early response. */
+    private var isWriting = false
     private var isReusable = true
     private var isClosedHere = false
     private var isInterim = false
@@ -57,7 +60,7 @@
 
     /** Whether the connection can take a new request. */
     val isUsable: Boolean
-        get() = isReusable && !isAwaitingResponse && channel?.isActive == true
+        get() = isReusable && !isWriting && !isAwaitingResponse && channel?.isActive == true
 
     /** Takes the connection out of the pool; what it receives from now on is read. */
     fun take() {
@@ -79,6 +82,7 @@
         if (carried.size >= MAX_CARRIED_IDS) isReusable = false
         interimCount = 0
         isAwaitingResponse = true
+        isWriting = true
         val request = DefaultFullHttpRequest(
             HttpVersion.HTTP_1_1,
             method,
@@ -90,12 +94,13 @@
         if (body.isNotEmpty() || method != HttpMethod.GET) {
             request.headers().set(HttpHeaderNames.CONTENT_LENGTH, body.size)
         }
-        channel?.writeAndFlush(request)?.addListener { recordWriteFailure(it.cause()) }
+        channel?.writeAndFlush(request)?.addListener { recordWritten(it.cause()) }
     }
 
     // After a failed write Netty closes the channel without exceptionCaught, and the decoder ends a
     // response without a length as if the server had closed the connection.
-    private fun recordWriteFailure(cause: Throwable?) {
+    private fun recordWritten(cause: Throwable?) {
+        isWriting = false
         val isReset = cause is IOException && cause !is ClosedChannelException
         if (isReset) failure = failure ?: cause?.message ?: "write failed"
     }
