Answer HEAD requests without a body

A caller that sent HEAD got the body of the host's refusal behind the head, and read the next answer on its connection from there: a refused HEAD request broke the connection. With a server that sends its answer twice, whose length is that of the copy, the copy reached the caller as the answer to its next request: a 200 where the server had answered 500, on and on (BodilessAnswerTest). Answers to HEAD requests now end with their head.

--- a/gateway/netty/src/main/kotlin/org/hyssoprack/gateway/netty/CallerConnection.kt
+++ b/gateway/netty/src/main/kotlin/org/hyssoprack/gateway/netty/CallerConnection.kt
@@ -8,6 +8,7 @@
 import io.netty.handler.codec.http.HttpContent
 import io.netty.handler.codec.http.HttpHeaderNames
 import io.netty.handler.codec.http.HttpHeaderValues
+import io.netty.handler.codec.http.HttpMethod
 import io.netty.handler.codec.http.HttpRequest
 import io.netty.handler.codec.http.HttpResponseStatus
 import io.netty.handler.codec.http.HttpUtil
@@ -156,7 +157,11 @@
                 HttpHeaderValues.CLOSE,
                 true
             )
-        val answer = ChannelAnswerWriter(channel, closes = { closes || isDraining() })
+        val answer = ChannelAnswerWriter(
+            channel = channel,
+            hasBody = request.method != HttpMethod.HEAD,
+            closes = { closes || isDraining() }
+        )
         writer = answer
         serving = scope.launch {
             try {
--- a/gateway/netty/src/main/kotlin/org/hyssoprack/gateway/netty/ChannelAnswerWriter.kt
+++ b/gateway/netty/src/main/kotlin/org/hyssoprack/gateway/netty/ChannelAnswerWriter.kt
@@ -16,9 +16,14 @@
 import kotlinx.coroutines.CompletableDeferred
 import org.hyssoprack.gateway.ResponseWriter
 
-/** Writes a response to a caller's connection. */
+/**
+ * Writes a response to a caller's connection.
+ *
+ * @param hasBody whether the response may have a body; false for a response to a HEAD request.
+ */
 internal class ChannelAnswerWriter(
     private val channel: Channel,
+    private val hasBody: Boolean,
     private val closes: () -> Boolean
 ) : ResponseWriter {
     private var writableSignal: CompletableDeferred<Unit>? = null
@@ -37,11 +42,12 @@
         val response = DefaultFullHttpResponse(
             HttpVersion.HTTP_1_1,
             HttpResponseStatus.valueOf(status),
-            Unpooled.wrappedBuffer(body)
+            if (hasBody) Unpooled.wrappedBuffer(body) else Unpooled.EMPTY_BUFFER
         )
         response.headers().set(headers)
         response.headers().remove(HttpHeaderNames.TRANSFER_ENCODING)
-        response.headers().set(HttpHeaderNames.CONTENT_LENGTH, body.size)
+        response.headers().remove(HttpHeaderNames.CONTENT_LENGTH)
+        if (hasBody) response.headers().set(HttpHeaderNames.CONTENT_LENGTH, body.size)
         begin(response)
         complete(response)
     }
@@ -51,12 +57,16 @@
             DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(status))
         response.headers().set(headers)
         response.headers().remove(HttpHeaderNames.CONTENT_LENGTH)
-        response.headers().set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED)
+        response.headers().remove(HttpHeaderNames.TRANSFER_ENCODING)
+        if (hasBody) {
+            response.headers().set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED)
+        }
         begin(response)
         channel.writeAndFlush(response)
     }
 
     override suspend fun send(bytes: ByteArray) {
+        if (!hasBody) return
         channel.writeAndFlush(DefaultHttpContent(Unpooled.wrappedBuffer(bytes)))
         if (channel.isWritable) return
         val waiting = CompletableDeferred<Unit>()
