Never take a cut-off copy and the answer after it for one answer

Callers got a success though the server had answered their request with a failure, with one send of one id on one connection (MIXED): the server sent a copy of its former answer that was cut off within the head, then its answer. The decoder read both as one head: the status of the copy, and the id, the seal and the body of the answer.

Cause: a position on the connection was taken for the beginning of an answer. Bytes after an answer were seen only once they made a whole head.

Now a connection with undecoded bytes goes back to no pool and is given to no request (ServerResponseDecoder), and a head whose reason or values hold a status line is no answer: a head that is cut off elsewhere is malformed, or has the id of the request before.

--- a/gateway/netty/src/main/kotlin/org/hyssoprack/gateway/netty/NettyServerConnection.kt
+++ b/gateway/netty/src/main/kotlin/org/hyssoprack/gateway/netty/NettyServerConnection.kt
@@ -24,7 +24,7 @@
 import org.hyssoprack.gateway.ServerConnection
 
 /**
- * [ServerConnection] over a Netty channel.
+ * [ServerConnection] over a Netty channel, behind its [decoder].
  *
  * @param onDropped called for each response that is not going to be read.
  */
@@ -34,6 +34,7 @@
     private val onIdle: (NettyServerConnection, Long) -> Unit
 ) : ChannelInboundHandlerAdapter(),
     ServerConnection {
+    val decoder = ServerResponseDecoder()
     private val parts = ArrayDeque<ResponsePart>()
     private var bufferedBytes = 0
 
@@ -60,7 +61,11 @@
 
     /** Whether the connection can take a new request. */
     val isUsable: Boolean
-        get() = isReusable && !isWriting && !isAwaitingResponse && channel?.isActive == true
+        get() = isReusable &&
+            !isWriting &&
+            !isAwaitingResponse &&
+            !decoder.hasUndecodedBytes &&
+            channel?.isActive == true
 
     /** Takes the connection out of the pool; what it receives from now on is read. */
     fun take() {
@@ -79,7 +84,9 @@
     ) {
         exchangeCount++
         if (requestId != null) carried += requestId
-        if (carried.size >= MAX_CARRIED_IDS) isReusable = false
+        decoder.isForHead = method == HttpMethod.HEAD
+        // A late copy of an answer to a HEAD request cannot be told from one with a body.
+        if (decoder.isForHead || carried.size >= MAX_CARRIED_IDS) isReusable = false
         interimCount = 0
         isAwaitingResponse = true
         isWriting = true
@@ -166,6 +173,7 @@
         val isFinal = head.status().codeClass() != HttpStatusClass.INFORMATIONAL
         if (isIdle && isFinal) onDropped(DropReason.IDLE)
         if (head.decoderResult().isFailure) return fail("not a valid HTTP response")
+        if (holdsStatusLine(head)) return fail("two responses in one head")
         isInterim = !isFinal
         if (isInterim) {
             if (++interimCount > MAX_INTERIM_RESPONSES) {
@@ -178,6 +186,12 @@
         put(ResponsePart.Head(head))
     }
 
+    // A response that is cut off within its head is decoded as one head with the response after it:
+    // the status of the first, and the id and the body of the second.
+    private fun holdsStatusLine(head: HttpResponse): Boolean =
+        STATUS_LINE.containsMatchIn(head.status().reasonPhrase()) ||
+            head.headers().any { STATUS_LINE.containsMatchIn(it.value) }
+
     private fun readContent(content: HttpContent) {
         if (isInterim) return
         if (content.decoderResult().isFailure) return fail("malformed response body")
@@ -219,6 +233,8 @@
     }
 
     private companion object {
+        val STATUS_LINE = Regex("""HTTP/1\.\d \d{3}""")
+
         // Servers send at most one or two interim responses; more indicate an endless sequence.
         const val MAX_INTERIM_RESPONSES = 8
 
--- a/gateway/netty/src/main/kotlin/org/hyssoprack/gateway/netty/NettyServerConnections.kt
+++ b/gateway/netty/src/main/kotlin/org/hyssoprack/gateway/netty/NettyServerConnections.kt
@@ -7,9 +7,7 @@
 import io.netty.channel.ChannelOption
 import io.netty.channel.socket.SocketChannel
 import io.netty.channel.socket.nio.NioSocketChannel
-import io.netty.handler.codec.http.HttpDecoderConfig
 import io.netty.handler.codec.http.HttpRequestEncoder
-import io.netty.handler.codec.http.HttpResponseDecoder
 import org.hyssoprack.common.Clock
 import org.hyssoprack.common.Failure
 import org.hyssoprack.common.NetworkAddress
@@ -102,16 +100,9 @@
             override fun initChannel(channel: SocketChannel) {
                 channel.pipeline().addLast(
                     HttpRequestEncoder(),
-                    HttpResponseDecoder(DECODER),
+                    connection.decoder,
                     connection
                 )
             }
         })
-
-    private companion object {
-        val DECODER: HttpDecoderConfig = HttpDecoderConfig()
-            .setMaxInitialLineLength(65_536)
-            .setMaxHeaderSize(65_536)
-            .setMaxChunkSize(65_536)
-    }
 }
--- a/gateway/netty/src/test/kotlin/org/hyssoprack/gateway/netty/ServerConnectionPartsTest.kt
+++ b/gateway/netty/src/test/kotlin/org/hyssoprack/gateway/netty/ServerConnectionPartsTest.kt
@@ -8,7 +8,6 @@
 import io.netty.channel.embedded.EmbeddedChannel
 import io.netty.handler.codec.http.DefaultHttpHeaders
 import io.netty.handler.codec.http.HttpMethod
-import io.netty.handler.codec.http.HttpResponseDecoder
 import java.io.ByteArrayOutputStream
 import kotlinx.coroutines.runBlocking
 import net.jqwik.api.Example
@@ -76,7 +75,7 @@
 
     private fun connection(): Opened {
         val handler = NettyServerConnection(number = 1, onDropped = {}) { _, _ -> }
-        val channel = EmbeddedChannel(HttpResponseDecoder(), handler)
+        val channel = EmbeddedChannel(handler.decoder, handler)
         handler.send(HttpMethod.GET, "/", DefaultHttpHeaders(), ByteArray(0))
         return Opened(handler, channel)
     }
