Take no failure without an id for a promise not to run

An unsafe request ran twice, or could be answered "not run" though it ran: a server sent 503 or 421 without an id before it had read the request's body, read on and ran it. On a fresh connection the host took the failure for certain.

Cause: the position on a connection, the first answer of a fresh one, was taken for the identity of the answer. Servers echo the id in their answers; what has none is now no answer to this request, on any connection. Such a request is answered 502, and sent again only if it may run twice.

ServerConnection.isReused had no other use and is gone; the tests of the count of exchanges stay.

--- a/gateway/api/src/main/kotlin/org/hyssoprack/gateway/ServerConnection.kt
+++ b/gateway/api/src/main/kotlin/org/hyssoprack/gateway/ServerConnection.kt
@@ -14,9 +14,6 @@
     /** Number of exchanges that it has carried, including one in progress. */
     val exchangeCount: Int
 
-    /** Whether it has carried an exchange before the one in progress. */
-    val isReused: Boolean get() = exchangeCount > 1
-
     /**
      * Writes a complete request.
      *
--- a/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/ServerAttempt.kt
+++ b/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/ServerAttempt.kt
@@ -156,19 +156,17 @@
         if (isSuccess && call.route.kind.isStream) return relayStream(reader, head, metadata)
         val body = reader.body { recordProgress() }.getOrElse { return it }
         reader.connection.release(idleMs(metadata))
-        return classify(reader.connection, head, metadata, body)
+        return classify(head, metadata, body)
     }
 
     private fun classify(
-        connection: ServerConnection,
         head: HttpResponse,
         metadata: ResponseMetadata,
         body: ByteArray
     ): AttemptResult {
         val status = head.status().code()
-        // Without an id the response may belong to the previous exchange on the connection.
-        val isCertain = metadata.requestId != null || !connection.isReused
-        if ((metadata.isNotRun || metadata.isOtherServer) && isCertain) {
+        if (metadata.requestId == null) return AttemptResult.Broken("response without a request id")
+        if (metadata.isNotRun || metadata.isOtherServer) {
             progress.runs--
             return AttemptResult.NotRun(
                 "server rejected the request with status $status",
@@ -176,11 +174,6 @@
                 metadata.isOtherServer
             )
         }
-        if (!isCertain) {
-            return AttemptResult.Broken(
-                "response without a request id on a reused connection"
-            )
-        }
         val headers = wire.answerHeaders(head.headers())
         return AttemptResult.Answered(status, headers, body)
     }
--- a/gateway/netty/src/test/kotlin/org/hyssoprack/gateway/netty/NettyServerConnectionsTest.kt
+++ b/gateway/netty/src/test/kotlin/org/hyssoprack/gateway/netty/NettyServerConnectionsTest.kt
@@ -74,12 +74,12 @@
             assertThat(listOf(first.number, second.number)).isEqualTo(listOf(1L, 2L))
             assertThat(first.exchangeCount).isEqualTo(0)
             exchange(first, "a")
-            assertThat(first.exchangeCount to first.isReused).isEqualTo(1 to false)
+            assertThat(first.exchangeCount).isEqualTo(1)
             first.release(IDLE_MS)
             val again = open("b")
             exchange(again, "b")
             assertThat(again.number).isEqualTo(1L)
-            assertThat(again.exchangeCount to again.isReused).isEqualTo(2 to true)
+            assertThat(again.exchangeCount).isEqualTo(2)
             assertThat(second.exchangeCount).isEqualTo(0)
         }
     }
