Ask for the request id wherever a connection is opened, and word what a begun stream is

Read as a newcomer: a forgotten id switched the rule of off silently, as null was its default; CarriedIds was bounded in another class; "the caller has received a part" is not what isStarted says since the head of a stream waits for its first event.

--- a/core/serving/src/main/kotlin/org/hyssoprack/serving/queue/QueuedRequest.kt
+++ b/core/serving/src/main/kotlin/org/hyssoprack/serving/queue/QueuedRequest.kt
@@ -20,7 +20,7 @@
  * @property avoid servers that have already failed the request; used only if there is no other.
  * @property excludedServers servers that the host sending the request must not use.
  * @property domain failure domain of the host that sends the request; null for this host's.
- * @property isStarted whether the caller has received a part of the response.
+ * @property isStarted whether a server has begun the stream that answers it.
  * @property suspectParts parts of the request that may crash servers, in order.
  * @property isRelayedHere whether this host sends the request and relays the response.
  */
--- a/gateway/api/src/main/kotlin/org/hyssoprack/gateway/ServerConnection.kt
+++ b/gateway/api/src/main/kotlin/org/hyssoprack/gateway/ServerConnection.kt
@@ -4,8 +4,9 @@
 import io.netty.handler.codec.http.HttpMethod
 
 /**
- * A connection to a server that carries one exchange at a time. It carries each request id once: a
- * late copy of the first response would be taken for the second, since both have the id.
+ * A connection to a server that carries one exchange at a time. It is opened for requests whose id
+ * it has not carried: a late copy of the first response would be taken for the second, since both
+ * have the id.
  */
 interface ServerConnection {
     /** Number of the connection among those that this host has opened to servers, from 1. */
@@ -24,7 +25,7 @@
         uri: String,
         headers: HttpHeaders,
         body: ByteArray,
-        requestId: String? = null
+        requestId: String?
     )
 
     /** Waits for the next part of the response. */
--- a/gateway/api/src/main/kotlin/org/hyssoprack/gateway/ServerConnections.kt
+++ b/gateway/api/src/main/kotlin/org/hyssoprack/gateway/ServerConnections.kt
@@ -15,7 +15,7 @@
     suspend fun open(
         address: NetworkAddress,
         connectTimeoutMs: Int,
-        requestId: String? = null
+        requestId: String?
     ): Either<Failure, ServerConnection>
 
     /** Closes the idle connections to [address]. */
--- a/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/RequestForwarder.kt
+++ b/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/RequestForwarder.kt
@@ -297,7 +297,7 @@
         const val FIRST_FAILURE = 500
         const val MAX_ATTEMPTS = 3
 
-        // A refusal would cut off the response. Bounds the connections to servers that are gone but
+        // A refusal would end a stream that has begun. Bounds the connections to servers that are gone but
         // still registered.
         const val MAX_ATTEMPTS_STARTED = 8
         const val REFUSED_RETRY_MS = 300L
--- a/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/slots/SlotMessage.kt
+++ b/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/slots/SlotMessage.kt
@@ -39,7 +39,7 @@
      *   a first event.
      * @property tried servers that have already failed the request.
      * @property excludedServers servers that the sender must not use.
-     * @property isStarted whether the caller has received a part of the response.
+     * @property isStarted whether a server has begun the stream that answers it.
      * @property suspectParts parts of the prompt that other requests may share, in order, and the
      *   request's own part while any part is suspected to crash servers.
      */
--- a/gateway/netty/src/main/kotlin/org/hyssoprack/gateway/netty/CarriedIds.kt
+++ b/gateway/netty/src/main/kotlin/org/hyssoprack/gateway/netty/CarriedIds.kt
@@ -6,9 +6,10 @@
  */
 internal class CarriedIds {
     private var hashes = IntArray(INITIAL_SIZE)
+    private var size = 0
 
-    var size = 0
-        private set
+    /** Whether the connection is to carry no further request. */
+    val isFull: Boolean get() = size >= MAX_IDS
 
     operator fun plusAssign(id: String) {
         if (size == hashes.size) hashes = hashes.copyOf(size * 2)
@@ -23,5 +24,8 @@
 
     private companion object {
         const val INITIAL_SIZE = 8
+
+        // Bounds the memory for ids; a connection is closed rather than forget one of them.
+        const val MAX_IDS = 256
     }
 }
--- a/gateway/netty/src/main/kotlin/org/hyssoprack/gateway/netty/NettyServerConnection.kt
+++ b/gateway/netty/src/main/kotlin/org/hyssoprack/gateway/netty/NettyServerConnection.kt
@@ -86,7 +86,7 @@
         if (requestId != null) carried += requestId
         decoder.isForHead = method == HttpMethod.HEAD
         // A late copy of an answer to a HEAD request cannot be told from one with a body.
-        if (decoder.isForHead || carried.size >= MAX_CARRIED_IDS) isReusable = false
+        if (decoder.isForHead || carried.isFull) isReusable = false
         interimCount = 0
         isAwaitingResponse = true
         isWriting = true
@@ -238,9 +238,6 @@
         // Servers send at most one or two interim responses; more indicate an endless sequence.
         const val MAX_INTERIM_RESPONSES = 8
 
-        // Bounds the memory for ids; a connection is closed rather than forget one of them.
-        const val MAX_CARRIED_IDS = 256
-
         // Buffered parts and bytes at which reading from the server stops, because the caller reads
         // slowly. They also bound the work on one connection between two turns of the event loop.
         const val STOP_PARTS = 64
--- a/gateway/netty/src/test/kotlin/org/hyssoprack/gateway/netty/DroppedResponseTest.kt
+++ b/gateway/netty/src/test/kotlin/org/hyssoprack/gateway/netty/DroppedResponseTest.kt
@@ -60,7 +60,13 @@
         private val channel = EmbeddedChannel(HttpResponseDecoder(), connection)
 
         init {
-            connection.send(HttpMethod.GET, "/", DefaultHttpHeaders(), ByteArray(0))
+            connection.send(
+                HttpMethod.GET,
+                "/",
+                DefaultHttpHeaders(),
+                ByteArray(0),
+                requestId = null
+            )
         }
 
         fun read(bytes: String) {
--- a/gateway/netty/src/test/kotlin/org/hyssoprack/gateway/netty/ServerAnswerFuzzTest.kt
+++ b/gateway/netty/src/test/kotlin/org/hyssoprack/gateway/netty/ServerAnswerFuzzTest.kt
@@ -143,9 +143,11 @@
     }
 
     private suspend fun read(address: NetworkAddress): Read = withTimeout(TIMEOUT_MS) {
-        val connection = connections.open(address, CONNECT_MS).getOrElse { error("$it") }
+        val connection = connections.open(address, CONNECT_MS, requestId = null).getOrElse {
+            error("$it")
+        }
         val headers = DefaultHttpHeaders().set("Host", "h")
-        connection.send(HttpMethod.GET, "/", headers, ByteArray(0))
+        connection.send(HttpMethod.GET, "/", headers, ByteArray(0), requestId = null)
         val body = ByteArrayOutputStream()
         var isWhole: Boolean? = null
         while (isWhole == null) {
--- a/gateway/netty/src/test/kotlin/org/hyssoprack/gateway/netty/ServerConnectionPartsTest.kt
+++ b/gateway/netty/src/test/kotlin/org/hyssoprack/gateway/netty/ServerConnectionPartsTest.kt
@@ -76,7 +76,7 @@
     private fun connection(): Opened {
         val handler = NettyServerConnection(number = 1, onDropped = {}) { _, _ -> }
         val channel = EmbeddedChannel(handler.decoder, handler)
-        handler.send(HttpMethod.GET, "/", DefaultHttpHeaders(), ByteArray(0))
+        handler.send(HttpMethod.GET, "/", DefaultHttpHeaders(), ByteArray(0), requestId = null)
         return Opened(handler, channel)
     }
 
