Run the link between hosts on the event loop

Cause: every message between hosts passed Ktor's selector thread, two coroutines on Dispatchers.IO and one on Dispatchers.Default before it reached the event loop; each hand-over is two system calls or more. Sockets stay Ktor's, but are selected and read on the event loop.

--- a/gateway/netty/src/main/kotlin/org/hyssoprack/gateway/netty/HostEventLoop.kt
+++ b/gateway/netty/src/main/kotlin/org/hyssoprack/gateway/netty/HostEventLoop.kt
@@ -1,6 +1,8 @@
 package org.hyssoprack.gateway.netty
 
+import io.ktor.network.selector.SelectorManager
 import io.netty.channel.EventLoop
+import io.netty.channel.nio.NioEventLoop
 import io.netty.channel.nio.NioEventLoopGroup
 import kotlinx.coroutines.CoroutineDispatcher
 import kotlinx.coroutines.asCoroutineDispatcher
@@ -13,4 +15,7 @@
 
     /** Runs coroutines on the event loop's thread. */
     val dispatcher: CoroutineDispatcher = eventLoop.asCoroutineDispatcher()
+
+    /** Returns a selector that waits for Ktor's sockets on the event loop's thread. */
+    fun selector(): SelectorManager = EventLoopSelector(eventLoop as NioEventLoop, dispatcher)
 }
--- a/link/tcp/src/main/kotlin/org/hyssoprack/link/tcp/ConnectionOpener.kt
+++ b/link/tcp/src/main/kotlin/org/hyssoprack/link/tcp/ConnectionOpener.kt
@@ -66,7 +66,8 @@
         socket: Socket,
         accepted: Boolean
     ): Either<Failure, Connection> {
-        val frames = FrameSocket(socket, codec, counters, settings.maxFrameBytes)
+        val bytes = SocketBytes(socket, selector)
+        val frames = FrameSocket(bytes, codec, counters, settings.maxFrameBytes)
         var connection: Either<Failure, Connection>? = null
         try {
             if (!accepted) sendHello(frames)
--- a/link/tcp/src/main/kotlin/org/hyssoprack/link/tcp/TcpLink.kt
+++ b/link/tcp/src/main/kotlin/org/hyssoprack/link/tcp/TcpLink.kt
@@ -8,6 +8,7 @@
 import io.ktor.network.sockets.aSocket
 import java.util.concurrent.ConcurrentHashMap
 import kotlinx.coroutines.CancellationException
+import kotlinx.coroutines.CoroutineDispatcher
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Dispatchers
 import kotlinx.coroutines.SupervisorJob
@@ -42,13 +43,14 @@
     private val self: HostRef,
     private val server: ServerSocket,
     private val selector: SelectorManager,
+    dispatcher: CoroutineDispatcher,
     messages: SerializersModule,
     advertised: NetworkAddress,
     private val settings: LinkSettings,
     private val clock: Clock,
     private val log: EventLog
 ) : Link {
-    private val scope = CoroutineScope(SupervisorJob() + Dispatchers.Default.limitedParallelism(1))
+    private val scope = CoroutineScope(SupervisorJob() + dispatcher)
     private val tasks = TaskSupervisor(scope, clock, log)
     private val counters = LinkCounters()
     private val received = Channel<ReceivedMessage>(
@@ -160,6 +162,8 @@
          *
          * @param messages registers all subclasses of [HostMessage] that are sent or received.
          * @param advertised address at which peers connect to this host.
+         * @param selector waits for the sockets; closed with the link.
+         * @param dispatcher runs the link's tasks one at a time.
          * @return the link; HOST_UNREACHABLE if the address cannot be bound.
          */
         suspend fun open(
@@ -169,17 +173,27 @@
             advertised: NetworkAddress = listen,
             settings: LinkSettings = LinkSettings(),
             clock: Clock = SystemClock,
-            log: EventLog = NoOpEventLog
-        ): Either<Failure, TcpLink> {
-            val selector = SelectorManager(Dispatchers.IO)
-            return Either.catch { aSocket(selector).tcp().bind(listen.ip, listen.port) }
+            log: EventLog = NoOpEventLog,
+            selector: SelectorManager = SelectorManager(Dispatchers.IO),
+            dispatcher: CoroutineDispatcher = Dispatchers.Default.limitedParallelism(1)
+        ): Either<Failure, TcpLink> =
+            Either.catch { aSocket(selector).tcp().bind(listen.ip, listen.port) }
                 .onLeft { selector.close() }
                 .mapLeft { Failure(ResultCode.HOST_UNREACHABLE, "$listen: ${it.message}") }
                 .map { server ->
-                    TcpLink(self, server, selector, messages, advertised, settings, clock, log)
+                    TcpLink(
+                        self = self,
+                        server = server,
+                        selector = selector,
+                        dispatcher = dispatcher,
+                        messages = messages,
+                        advertised = advertised,
+                        settings = settings,
+                        clock = clock,
+                        log = log
+                    )
                 }
                 .onRight { it.listen() }
-        }
 
         private fun ServerSocket.port(): Int = (localAddress as InetSocketAddress).port
     }
