--- a/core/membership/src/main/kotlin/org/hyssoprack/membership/SwimMembership.kt
+++ b/core/membership/src/main/kotlin/org/hyssoprack/membership/SwimMembership.kt
@@ -21,6 +21,7 @@
 import org.hyssoprack.common.SystemClock
 import org.hyssoprack.common.TaskSupervisor
 import org.hyssoprack.common.eq
+import org.hyssoprack.common.msUntilMultipleOf
 import org.hyssoprack.link.Link
 
 /**
@@ -147,7 +148,7 @@
 
     private fun tick() {
         val nowMs = clock.nowMs()
-        nextTickMs = nowMs + TICK_MS
+        nextTickMs = nowMs + clock.msUntilMultipleOf(TICK_MS)
         perform(table.tick(nowMs))
         if (nowMs >= nextJoinMs) join(nowMs)
     }
--- a/link/tcp/src/main/kotlin/org/hyssoprack/link/tcp/Connection.kt
+++ b/link/tcp/src/main/kotlin/org/hyssoprack/link/tcp/Connection.kt
@@ -2,15 +2,12 @@
 
 import kotlinx.coroutines.CancellationException
 import kotlinx.coroutines.CompletableDeferred
-import kotlinx.coroutines.ExperimentalCoroutinesApi
 import kotlinx.coroutines.cancelChildren
 import kotlinx.coroutines.channels.BufferOverflow
 import kotlinx.coroutines.channels.Channel
 import kotlinx.coroutines.coroutineScope
 import kotlinx.coroutines.delay
 import kotlinx.coroutines.launch
-import kotlinx.coroutines.selects.onTimeout
-import kotlinx.coroutines.selects.select
 import kotlinx.coroutines.withTimeoutOrNull
 import org.hyssoprack.common.Clock
 import org.hyssoprack.common.EventLog
@@ -19,6 +16,7 @@
 import org.hyssoprack.common.HostRef
 import org.hyssoprack.common.NetworkAddress
 import org.hyssoprack.common.eq
+import org.hyssoprack.common.msUntilMultipleOf
 import org.hyssoprack.link.ReceivedMessage
 
 /**
@@ -39,13 +37,12 @@
     private val counters: LinkCounters,
     private val deliver: (ReceivedMessage) -> Unit
 ) {
-    private val outgoing = Channel<HostMessage>(
+    private val outgoing = Channel<Frame>(
         capacity = settings.queueLength,
         onBufferOverflow = BufferOverflow.DROP_OLDEST,
         onUndeliveredElement = { counters.drops.increment() }
     )
     private val ended = CompletableDeferred<CloseReason>()
-    private val writerResumed = Channel<Unit>(Channel.CONFLATED)
     private val monitorResumed = Channel<Unit>(Channel.CONFLATED)
 
     /** Time of the first send after the last received byte, initially of creation; else null. */
@@ -55,6 +52,9 @@
     @Volatile
     private var lastMessageMs = clock.nowMs()
 
+    @Volatile
+    private var lastSentMs = clock.nowMs()
+
     private val isHeartbeatPaused: Boolean get() = clock.nowMs() - lastMessageMs >
         settings.heartbeatPauseAfterMs
 
@@ -63,7 +63,7 @@
 
     /** Queues [message]; drops the oldest queued message if the queue is full. */
     fun send(message: HostMessage) {
-        val sent = outgoing.trySend(message)
+        val sent = outgoing.trySend(Frame.Payload(message))
         if (sent.isFailure) counters.drops.increment()
     }
 
@@ -123,9 +123,7 @@
     private fun recordMessage() {
         val wasHeartbeatPaused = isHeartbeatPaused
         lastMessageMs = clock.nowMs()
-        if (!wasHeartbeatPaused) return
-        writerResumed.trySend(Unit)
-        monitorResumed.trySend(Unit)
+        if (wasHeartbeatPaused) monitorResumed.trySend(Unit)
     }
 
     private fun reject(fault: FrameFault) {
@@ -135,50 +133,43 @@
     }
 
     private suspend fun writeFrames() {
-        while (isOpen) {
-            val first = nextMessage()
-            if (first == null) socket.write(Frame.Heartbeat) else writeBatch(first)
-            if (unansweredSinceMs == null) unansweredSinceMs = clock.nowMs()
+        for (first in outgoing) {
+            if (!isOpen) return
+            writeBatch(first)
+            lastSentMs = clock.nowMs()
+            if (unansweredSinceMs == null) unansweredSinceMs = lastSentMs
             socket.flush()
         }
     }
 
-    @OptIn(ExperimentalCoroutinesApi::class)
-    private suspend fun nextMessage(): HostMessage? = select {
-        outgoing.onReceive { it }
-        if (isHeartbeatPaused) {
-            writerResumed.onReceive { null }
-        } else {
-            onTimeout(settings.heartbeatMs) { null }
-        }
-    }
-
-    private suspend fun writeBatch(first: HostMessage) {
-        recordMessage()
-        var message: HostMessage? = first
+    private fun writeBatch(first: Frame) {
+        var frame: Frame? = first
         var size = 0
-        while (message != null) {
-            size += write(message)
-            message = if (size < BATCH_BYTES) outgoing.tryReceive().getOrNull() else null
+        while (frame != null) {
+            if (frame is Frame.Payload) recordMessage()
+            size += write(frame)
+            frame = if (size < BATCH_BYTES) outgoing.tryReceive().getOrNull() else null
         }
     }
 
-    private suspend fun write(message: HostMessage): Int =
-        socket.write(Frame.Payload(message)).fold({ logUnsendable(message, it) }, { it })
+    private fun write(frame: Frame): Int =
+        socket.write(frame).fold({ logUnsendable(frame, it) }, { it })
 
-    private fun logUnsendable(message: HostMessage, fault: FrameFault): Int {
+    private fun logUnsendable(frame: Frame, fault: FrameFault): Int {
         counters.drops.increment()
-        val type = message::class.simpleName
+        val type = (frame as? Frame.Payload)?.message?.let { it::class.simpleName }
         log.event("link-message-unsendable", "type" eq type, "fault" eq fault.wireName)
         return 0
     }
 
+    // Sends heartbeats, and detects that nothing is received. One timer for both, which fires at the
+    // same time on all connections, since each wake-up of an idle host costs processor time.
     private suspend fun monitor() {
         while (isOpen) {
             if (isHeartbeatPaused && unansweredSinceMs == null) {
                 withTimeoutOrNull(settings.idleMs) { monitorResumed.receive() }
             } else {
-                delay(settings.heartbeatMs / CHECKS_PER_HEARTBEAT)
+                delay(clock.msUntilMultipleOf(settings.heartbeatMs / CHECKS_PER_HEARTBEAT))
             }
             val nowMs = clock.nowMs()
             val isTimedOut = unansweredSinceMs.let {
@@ -186,9 +177,15 @@
             }
             if (isTimedOut) return closeOnReceiveTimeout()
             if (nowMs - lastMessageMs > settings.idleMs) return close(CloseReason.IDLE)
+            if (isHeartbeatDue(nowMs)) outgoing.trySend(Frame.Heartbeat)
         }
     }
 
+    // Early by a quarter, since the next check is half an interval later and a connection that is
+    // about to pause has to send a last heartbeat.
+    private fun isHeartbeatDue(nowMs: Long) =
+        !isHeartbeatPaused && nowMs - lastSentMs >= settings.heartbeatMs * 3 / 4
+
     private fun closeOnReceiveTimeout() {
         counters.timeouts.increment()
         close(CloseReason.SILENT)
