Place by the pace that servers report, and plan their memory by learned outputs

Backend servers report as a fourth figure of their load how long work takes on them now; it was dropped. Their memory was planned by estimates that are right at the median only, so servers crashed.

Hosts pass the figure to the slot owner in PromptRead and SlotResult.

--- a/core/common/src/main/kotlin/org/hyssoprack/common/ResultCode.kt
+++ b/core/common/src/main/kotlin/org/hyssoprack/common/ResultCode.kt
@@ -43,6 +43,7 @@
         "A part of the prompt crashes backend servers."
     ),
     REQUEST_BLOCKED(2014, Outcome.NOT_RUN, 503, "The same request crashed backend servers before."),
+    MEMORY_EXCEEDED(2020, Outcome.NOT_RUN, 503, "The request exceeds every server's memory."),
 
     STREAM_BROKEN(3000, Outcome.UNKNOWN, 502, "The answer ended early and could not be resumed."),
     STREAM_SILENT(3001, Outcome.UNKNOWN, 504, "The backend server sent no data in time."),
--- a/core/serving/src/main/kotlin/org/hyssoprack/serving/placement/ServerSpeed.kt
+++ b/core/serving/src/main/kotlin/org/hyssoprack/serving/placement/ServerSpeed.kt
@@ -1,6 +1,9 @@
 package org.hyssoprack.serving.placement
 
-/** A backend server's speed, estimated from the requests that it has served. */
+/**
+ * A backend server's speed at its usual pace, estimated from the requests that it has served. The
+ * pace that held while a request ran is taken out of its times; it is 1 where it is not known.
+ */
 class ServerSpeed {
     private val prefill = SpeedEstimate()
     private val token = SpeedEstimate()
@@ -17,20 +20,23 @@
 
     /**
      * Records that a stream's first event came after [firstMs], with [tokens] prompt tokens to be
-     * read.
+     * read at [pace].
      */
-    fun recordPrompt(tokens: Int, firstMs: Long) {
+    fun recordPrompt(tokens: Int, firstMs: Long, pace: Double = 1.0) {
         if (tokens < MIN_PROMPT) return
-        prefill.add((firstMs - FIXED_MS).coerceAtLeast(1.0) / tokens)
+        prefill.add((firstMs / pace - FIXED_MS).coerceAtLeast(1.0) / tokens)
     }
 
-    /** Records a complete stream of [tokens] that took [ms] from its first event to its end. */
-    fun recordStream(tokens: Int, ms: Long) {
-        if (tokens >= MIN_OUTPUT) token.add(ms.toDouble() / tokens)
+    /**
+     * Records a complete stream of [tokens] that took [ms] from its first event to its end at
+     * [pace].
+     */
+    fun recordStream(tokens: Int, ms: Long, pace: Double = 1.0) {
+        if (tokens >= MIN_OUTPUT) token.add(ms / pace / tokens)
     }
 
-    /** Records a plain call that took [ms]. */
-    fun recordCall(ms: Long) = call.add(ms.toDouble())
+    /** Records a plain call that took [ms] at [pace]. */
+    fun recordCall(ms: Long, pace: Double = 1.0) = call.add(ms / pace)
 
     internal companion object {
         /** Time to the first event that does not depend on the prompt, in milliseconds. */
--- a/core/serving/src/main/kotlin/org/hyssoprack/serving/placement/ServerState.kt
+++ b/core/serving/src/main/kotlin/org/hyssoprack/serving/placement/ServerState.kt
@@ -1,20 +1,26 @@
 package org.hyssoprack.serving.placement
 
 import org.hyssoprack.common.Clock
+import org.hyssoprack.common.NoOpEventLog
 import org.hyssoprack.serving.fleet.RegisteredServer
 import org.hyssoprack.serving.fleet.ServerInstance
 import org.hyssoprack.serving.limits.ServerRateLimit
 
 /**
- * This host's view of one backend server instance: its load, health and speed.
+ * This host's view of one backend server instance: its load, health, speed and memory.
  *
+ * @param memoryTokens configured memory in tokens; null if it is not limited.
  * @param rateLimitOf returns the request rate that a server accepts; null for any rate.
+ * @param outputs how far outputs go beyond their estimates, shared by the servers of a service.
+ * @param bound share of the memory that the server is believed to hold.
  */
 class ServerState(
     server: RegisteredServer,
     private val clock: Clock,
-    private val memoryTokens: Long?,
-    private val rateLimitOf: (ServerInstance) -> ServerRateLimit? = { null }
+    memoryTokens: Long?,
+    private val rateLimitOf: (ServerInstance) -> ServerRateLimit? = { null },
+    private val outputs: OutputSpread = OutputSpread(),
+    bound: MemoryBound = MemoryBounds(clock, NoOpEventLog)[server.id]
 ) {
     /** The server's current registration. */
     var server: RegisteredServer = server
@@ -23,6 +29,10 @@
     /** Speed, estimated from the requests that this host has sent to the server. */
     val speed = ServerSpeed()
 
+    /** How long work currently takes in relation to [speed], as the server reports it. */
+    val pace = ServerPace(clock)
+
+    private val memory = memoryTokens?.let { MemoryLedger(it, outputs, bound, clock) }
     private val health = ServerHealth(clock)
     private var own = PeerLoad()
     private var relayed = 0
@@ -36,14 +46,22 @@
     val ownLoad: PeerLoad get() = own
 
     /** Load of all hosts on the server, as far as known to this host. */
-    val load: PeerLoad
+    val load: PeerLoad get() = (own + peers).copy(running = running)
+
+    /** Number of requests of all hosts on the server, as far as known to this host. */
+    val running: Int
         get() {
-            val known = own + peers
+            val known = own.running + peers.running
             val isReportFresh = clock.nowMs() - reportedMs < REPORT_LIFETIME_MS
-            if (!isReportFresh) return known
-            return known.copy(running = maxOf(known.running, own.running + reportedOthers))
+            return if (isReportFresh) maxOf(known, own.running + reportedOthers) else known
         }
 
+    /** Prompt tokens of all hosts' requests that the server has to read. */
+    val unreadTokens: Int get() = own.promptTokens + peers.promptTokens
+
+    /** Whether the server reports its pace; the memory of the others is planned by estimates. */
+    private val reportsPace: Boolean get() = pace.lastPercent != null
+
     /** Whether the server failed recently or stopped responding, so that others are preferred. */
     val isSuspect: Boolean get() = health.isSuspect
 
@@ -76,18 +94,26 @@
             return !server.isLeaving &&
                 nowMs >= fullUntilMs &&
                 nowMs >= closedUntilMs &&
-                load.running < server.slots &&
+                running < server.slots &&
                 isWithinRateLimit
         }
 
     /** Whether the server has a free slot and memory for [work]. */
     fun hasRoom(work: WorkEstimate): Boolean {
         if (!isOpen) return false
-        val load = load
-        val memory = memoryTokens ?: return true
-        return load.running == 0 || load.tokens + work.tokens <= memory * MEMORY_SHARE
+        val memory = memory ?: return true
+        val isIdle = running == 0
+        if (reportsPace) return memory.hasRoom(work, others = peers.tokens, isIdle)
+        return isIdle || own.tokens + peers.tokens + work.tokens <= memory.capacity * MEMORY_SHARE
     }
 
+    /** Whether [work] exceeds the server's whole memory, so that it would never be accepted. */
+    fun isTooSmallFor(work: WorkEstimate): Boolean = reportsPace && memory?.fitsWhole(work) == false
+
+    /** Whether [work] would be the second of the largest requests on the server. */
+    fun isSecondLarge(work: WorkEstimate): Boolean =
+        reportsPace && memory?.isSecondLarge(work) == true
+
     /**
      * Adds [work], which was granted a slot, to the load.
      *
@@ -95,6 +121,7 @@
      */
     fun recordDispatch(work: WorkEstimate, isRelayedHere: Boolean = true) {
         own += PeerLoad(1, work.promptTokens, work.tokens)
+        memory?.add(work)
         if (!isRelayedHere) return
         relayed++
         health.recordRequestSent()
@@ -105,6 +132,13 @@
         own += PeerLoad(0, -work.promptTokens, 0)
     }
 
+    /**
+     * Records that a stream's first event came after [firstMs], with [tokens] prompt tokens to be
+     * read.
+     */
+    fun recordFirstEvent(tokens: Int, firstMs: Long) =
+        speed.recordPrompt(tokens, firstMs, pace.current)
+
     /**
      * Removes [work], which has ended, from the load; [promptRead] tells whether its prompt had
      * been read.
@@ -112,12 +146,16 @@
     fun recordEnd(work: WorkEstimate, promptRead: Boolean, isRelayedHere: Boolean = true) {
         val unread = if (promptRead) 0 else work.promptTokens
         own += PeerLoad(-1, -unread, -work.tokens)
+        memory?.remove(work)
         if (!isRelayedHere) return
         relayed--
         if (relayed == 0) health.recordIdle()
     }
 
-    /** Updates health and speed with the [result] of using a slot of the server. */
+    /**
+     * Updates health, speed and memory with the [result] of using a slot of the server; called
+     * before [recordEnd].
+     */
     fun recordResult(result: SlotResult) {
         when (result.outcome) {
             SlotOutcome.SUCCEEDED -> health.recordSuccess()
@@ -126,8 +164,17 @@
             SlotOutcome.FULL -> markFull()
             SlotOutcome.UNUSED -> Unit
         }
-        result.streamTokens?.let { speed.recordStream(it, result.streamMs) }
-        result.callMs?.let { speed.recordCall(it) }
+        result.streamTokens?.let { speed.recordStream(it, result.streamMs, pace.lasting) }
+        result.callMs?.let { speed.recordCall(it, pace.current) }
+        if (reportsPace) recordMemoryUse(result)
+    }
+
+    private fun recordMemoryUse(result: SlotResult) {
+        if (result.isConnectionLost || result.outcome == SlotOutcome.UNREACHABLE) {
+            memory?.recordLoss()
+        }
+        val estimate = result.streamTokens ?: return
+        result.streamEvents?.let { outputs.record(estimate, it) }
     }
 
     /** Records that bytes arrived from the server. */
--- a/core/serving/src/main/kotlin/org/hyssoprack/serving/placement/SlotResult.kt
+++ b/core/serving/src/main/kotlin/org/hyssoprack/serving/placement/SlotResult.kt
@@ -10,6 +10,10 @@
  *   [streamMs].
  * @property callMs time that a plain call took, in milliseconds.
  * @property isUnlimited whether the server named no rate limit, though it has or had one.
+ * @property streamEvents number of events of the stream of [streamTokens], whose number of tokens
+ *   is an estimate.
+ * @property isConnectionLost whether the server ended the connection before its response.
+ * @property pacePercent pace that the server has just reported, unless it was passed on before.
  */
 @Serializable
 data class SlotResult(
@@ -17,5 +21,8 @@
     @SerialName("t") val streamTokens: Int? = null,
     @SerialName("s") val streamMs: Long = 0,
     @SerialName("c") val callMs: Long? = null,
-    @SerialName("u") val isUnlimited: Boolean = false
+    @SerialName("u") val isUnlimited: Boolean = false,
+    @SerialName("v") val streamEvents: Int? = null,
+    @SerialName("l") val isConnectionLost: Boolean = false,
+    @SerialName("p") val pacePercent: Int? = null
 )
--- a/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/EventSplitter.kt
+++ b/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/EventSplitter.kt
@@ -18,6 +18,10 @@
     var lastEventId: String? = null
         private set
 
+    /** Number of complete events so far. */
+    var count = 0
+        private set
+
     /** Size of the buffered incomplete event, in bytes. */
     val pendingBytes: Int get() = pending.size()
 
@@ -36,6 +40,7 @@
         dropPartial()
         buffer(bytes, from = end)
         lastEventId = idIn(complete) ?: lastEventId
+        count += countEvents(complete)
         return complete
     }
 
@@ -71,6 +76,27 @@
         else -> bytes[index]
     }
 
+    /** Returns the number of [events], each of which ends with its first empty line. */
+    private fun countEvents(events: ByteArray): Int {
+        var count = 0
+        var isWithinLine = false
+        var hasLine = false
+        for (byte in events) {
+            if (byte == CARRIAGE_RETURN) continue
+            if (byte != LINE_FEED) {
+                isWithinLine = true
+                hasLine = true
+                continue
+            }
+            if (hasLine && !isWithinLine) {
+                count++
+                hasLine = false
+            }
+            isWithinLine = false
+        }
+        return count
+    }
+
     private fun idIn(events: ByteArray): String? = events.decodeToString()
         .lineSequence()
         .lastOrNull { it.startsWith(ID_FIELD) }
--- a/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/ServerAttempt.kt
+++ b/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/ServerAttempt.kt
@@ -38,6 +38,10 @@
     private val startMs = clock.nowMs()
     private var promptRead = false
     private var isUnlimited = false
+
+    /** Pace that the server has reported and the slot owner has not been told. */
+    private var newPace: Int? = null
+    private var newPaceMs = 0L
     private var firstMs = 0L
     private var hasBegun = false
 
@@ -62,7 +66,8 @@
             if (end is AttemptResult.Broken && end.isConnectionLost && !hasBegun) {
                 evidence.recordCrash(state.server)
             }
-            slot.release(resultOf(end).copy(isUnlimited = isUnlimited))
+            val result = resultOf(end)
+            slot.release(result.copy(isUnlimited = isUnlimited, pacePercent = takePace()))
             if (end !is AttemptResult.Broken) return end
             return search.await()?.let { AttemptResult.Stalled(it, end.reason) } ?: end
         } finally {
@@ -137,11 +142,24 @@
             if (isOtherRequest) continue
             if (!metadata.isOtherServer) {
                 isUnlimited = statusHandler.handleRateLimit(state, metadata, startMs)
+                metadata.load?.pacePercent?.let { recordPace(it) }
             }
             return relayMatching(reader, head, metadata)
         }
     }
 
+    private fun recordPace(percent: Int) {
+        state.pace.record(percent)
+        newPace = percent
+        newPaceMs = clock.nowMs()
+    }
+
+    /** Returns the pace that the slot owner has not been told, once, while it is current. */
+    private fun takePace(): Int? {
+        val isCurrent = clock.nowMs() - newPaceMs <= MAX_PACE_AGE_MS
+        return newPace.takeIf { isCurrent }.also { newPace = null }
+    }
+
     private suspend fun relayMatching(
         reader: ResponseReader,
         head: HttpResponse,
@@ -227,7 +245,7 @@
     private fun recordBegun() {
         if (hasBegun) return
         hasBegun = true
-        if (promptRead) slot.recordFirstEvent(elapsedMs)
+        if (promptRead) slot.recordFirstEvent(elapsedMs, takePace())
         evidence.recordBegun(state.server)
     }
 
@@ -266,7 +284,10 @@
 
         is AttemptResult.Answered -> responseResult(end)
 
-        is AttemptResult.Broken, is AttemptResult.Stalled -> SlotResult(SlotOutcome.FAILED)
+        is AttemptResult.Broken ->
+            SlotResult(SlotOutcome.FAILED, isConnectionLost = end.isConnectionLost)
+
+        is AttemptResult.Stalled -> SlotResult(SlotOutcome.FAILED)
 
         is AttemptResult.NotRun -> SlotResult(
             if (end.arrived && !end.isOtherServer) SlotOutcome.FULL else SlotOutcome.UNREACHABLE
@@ -276,7 +297,12 @@
     private fun streamResult(): SlotResult {
         if (!relay.isFromOneServer) return SlotResult(SlotOutcome.SUCCEEDED)
         val ms = clock.nowMs() - firstMs
-        return SlotResult(SlotOutcome.SUCCEEDED, call.work.outputTokens, ms)
+        return SlotResult(
+            outcome = SlotOutcome.SUCCEEDED,
+            streamTokens = call.work.outputTokens,
+            streamMs = ms,
+            streamEvents = relay.eventCount
+        )
     }
 
     private fun responseResult(end: AttemptResult.Answered): SlotResult {
@@ -295,6 +321,9 @@
         val SUCCESSES = 200..299
         const val FIRST_FAILURE = 500
 
+        // The pace changes many times a second, so an older one says nothing to the slot owner.
+        const val MAX_PACE_AGE_MS = 200L
+
         // Longer than healthy servers take to read the largest prompts.
         const val STALL_MS = 2_000L
 
--- a/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/ServerPool.kt
+++ b/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/ServerPool.kt
@@ -14,6 +14,8 @@
 import org.hyssoprack.serving.fleet.RegisteredServer
 import org.hyssoprack.serving.fleet.ServerLimitRegistry
 import org.hyssoprack.serving.limits.SlidingWindowSum
+import org.hyssoprack.serving.placement.MemoryBounds
+import org.hyssoprack.serving.placement.OutputSpread
 import org.hyssoprack.serving.placement.ServerChooser
 import org.hyssoprack.serving.placement.ServerState
 import org.hyssoprack.serving.placement.TypicalSpeed
@@ -28,11 +30,13 @@
     private val chooser: ServerChooser,
     private val observer: QueueObserver = NoOpQueueObserver,
     private val retryAfter: RetryAfterPolicy = RetryAfterPolicy(),
-    private val limits: ServerLimitRegistry = ServerLimitRegistry(clock, NoOpEventLog)
+    private val limits: ServerLimitRegistry = ServerLimitRegistry(clock, NoOpEventLog),
+    private val memory: MemoryBounds = MemoryBounds(clock, NoOpEventLog)
 ) {
     private val states = LinkedHashMap<BackendServerId, ServerState>()
     private val queue = DispatchQueue()
     private val waiting = HashMap<QueuedRequest, Waiter>()
+    private val outputs = OutputSpread()
     private val granted = SlidingWindowSum(RATE_WINDOW_MS)
     private val requested = SlidingWindowSum(DEMAND_WINDOW_MS)
     private var typical = TypicalSpeed.of(emptyList())
@@ -57,7 +61,7 @@
             val previous = old[server.id]
             states[server.id] = when {
                 previous == null || !previous.server.isSameInstance(server) ->
-                    ServerState(server, clock, spec?.engine?.memoryTokens, limits::get)
+                    stateOf(server, spec)
 
                 previous.server == server -> previous
 
@@ -67,6 +71,15 @@
         dispatchWaiting()
     }
 
+    private fun stateOf(server: RegisteredServer, spec: ServiceSpec?) = ServerState(
+        server = server,
+        clock = clock,
+        memoryTokens = spec?.engine?.memoryTokens,
+        rateLimitOf = limits::get,
+        outputs = outputs,
+        bound = memory[server.id]
+    )
+
     /** Returns the state of the server [id], or null if it is not registered. */
     fun state(id: BackendServerId): ServerState? = states[id]
 
@@ -224,6 +237,10 @@
                 "No backend server is registered for the service."
             )
         }
+        if (states.values.all { it.isTooSmallFor(request.work) }) {
+            val detail = "${request.work.tokens} tokens exceed the memory of every backend server."
+            return Failure(ResultCode.MEMORY_EXCEEDED, detail)
+        }
         val closedMs = closedMs()
         if (closedMs == 0L || clock.nowMs() + closedMs <= request.giveUpMs) return null
         return rejection(
--- a/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/ServerPools.kt
+++ b/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/ServerPools.kt
@@ -10,6 +10,7 @@
 import org.hyssoprack.serving.fleet.ServerLimitRegistry
 import org.hyssoprack.serving.limits.CrashingPartRegistry
 import org.hyssoprack.serving.limits.PartGate
+import org.hyssoprack.serving.placement.MemoryBounds
 import org.hyssoprack.serving.placement.PeerLoad
 import org.hyssoprack.serving.placement.ServerChooser
 import org.hyssoprack.serving.settings.ServiceSpec
@@ -19,6 +20,7 @@
  *
  * @property limits request rates that servers accept from all hosts together.
  * @property parts parts of prompts that crash servers.
+ * @property memory shares of the servers' memory that may be planned.
  */
 class ServerPools(
     private val clock: Clock,
@@ -26,15 +28,17 @@
     private val observer: QueueObserver = NoOpQueueObserver,
     private val leavingServers: LeavingServerRegistry = LeavingServerRegistry(clock),
     val limits: ServerLimitRegistry = ServerLimitRegistry(clock, NoOpEventLog),
-    val parts: PartGate = PartGate(CrashingPartRegistry(clock, NoOpEventLog))
+    val parts: PartGate = PartGate(CrashingPartRegistry(clock, NoOpEventLog)),
+    val memory: MemoryBounds = MemoryBounds(clock, NoOpEventLog)
 ) {
     private val pools = HashMap<ServiceId, ServerPool>()
     private var specs: Map<ServiceId, ServiceSpec> = emptyMap()
     private var registered: Collection<RegisteredServer> = emptyList()
 
     /** The pool of [service]; empty if no server is registered for it. */
-    operator fun get(service: ServiceId): ServerPool =
-        pools.getOrPut(service) { ServerPool(clock, chooser, observer, limits = limits) }
+    operator fun get(service: ServiceId): ServerPool = pools.getOrPut(service) { newPool() }
+
+    private fun newPool() = ServerPool(clock, chooser, observer, limits = limits, memory = memory)
 
     /** Updates the pools to the services of new settings. */
     fun updateServices(services: Map<ServiceId, ServiceSpec>) {
@@ -78,6 +82,10 @@
         .filter { it.ownLoad.running > 0 }
         .associate { it.server.id to it.ownLoad }
 
+    /** Number of servers on which work currently takes at least [SLOW_PACE] of the usual time. */
+    fun slowCount(): Int =
+        pools.values.sumOf { pool -> pool.servers.count { it.pace.current >= SLOW_PACE } }
+
     /** Returns the number of requests in all queues. */
     fun queueLength(): Int = pools.values.sumOf { it.queueLength }
 
@@ -91,10 +99,16 @@
         .forEach { (service, versions) -> parts.registry.keepVersions(service, versions.toSet()) }
 
     private fun refresh() {
+        memory.forgetOthers(registered.mapTo(HashSet()) { it.id })
         limits.forgetOthers(registered.mapTo(HashSet()) { it.instance })
         val byService = registered.map { leavingServers.withLeavingFlag(it) }.groupBy { it.service }
         (pools.keys + byService.keys).toSet().forEach { service ->
             this[service].update(byService[service].orEmpty(), specs[service])
         }
     }
+
+    private companion object {
+        // Clearly slower than usual, beyond the variation of single figures.
+        const val SLOW_PACE = 1.5
+    }
 }
--- a/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/StreamRelay.kt
+++ b/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/StreamRelay.kt
@@ -16,6 +16,9 @@
     /** Id of the last event sent to the caller; null before the first. */
     val lastEventId: String? get() = events.lastEventId
 
+    /** Number of complete events so far. */
+    val eventCount: Int get() = events.count
+
     /** Whether no incomplete event is buffered. */
     val isWhole: Boolean get() = !events.hasPartialEvent
 
--- a/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/slots/Slot.kt
+++ b/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/slots/Slot.kt
@@ -34,14 +34,17 @@
     var isReleased = false
         private set
 
-    /** Records that the first event came [firstMs] after the request was sent. */
-    fun recordFirstEvent(firstMs: Long) {
+    /**
+     * Records that the first event came [firstMs] after the request was sent, from a server that
+     * has just reported [pacePercent].
+     */
+    fun recordFirstEvent(firstMs: Long, pacePercent: Int? = null) {
         isPromptRead = true
         if (isAppliedHere) {
             state.recordPromptRead(request.work)
-            state.speed.recordPrompt(tokens = tokensAhead, firstMs = firstMs)
+            state.recordFirstEvent(tokens = tokensAhead, firstMs = firstMs)
         }
-        notifyOwner(this, SlotMessage.PromptRead(number, firstMs))
+        notifyOwner(this, SlotMessage.PromptRead(number, firstMs, pacePercent))
     }
 
     /** Reports that the server has sent nothing for longer than expected. */
@@ -52,8 +55,8 @@
         if (isReleased) return
         isReleased = true
         if (isAppliedHere) {
-            state.recordEnd(request.work, isPromptRead)
             state.recordResult(result)
+            state.recordEnd(request.work, isPromptRead)
         }
         notifyOwner(this, SlotMessage.Ended(number, result))
     }
--- a/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/slots/SlotMessage.kt
+++ b/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/slots/SlotMessage.kt
@@ -109,11 +109,18 @@
     @SerialName("sw")
     data class Cancelled(@SerialName("n") val number: Long) : SlotMessage
 
-    /** The first event of the request came [firstMs] after it was sent. */
+    /**
+     * The first event of the request came [firstMs] after it was sent.
+     *
+     * @property pacePercent pace that the server has just reported; null if it reports none.
+     */
     @Serializable
     @SerialName("sp")
-    data class PromptRead(@SerialName("n") val number: Long, @SerialName("f") val firstMs: Long) :
-        SlotMessage
+    data class PromptRead(
+        @SerialName("n") val number: Long,
+        @SerialName("f") val firstMs: Long,
+        @SerialName("p") val pacePercent: Int? = null
+    ) : SlotMessage
 
     /** The server has sent nothing for the request for longer than expected. */
     @Serializable
--- a/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/slots/SlotOwner.kt
+++ b/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/slots/SlotOwner.kt
@@ -237,16 +237,23 @@
         lease.state?.server?.let {
             pools.parts.registry.recordBegun(it.service, it.version, lease.suspectParts)
         }
-        lease.state?.speed?.recordPrompt(tokens = lease.tokensAhead, firstMs = message.firstMs)
+        recordPace(from, lease, message.pacePercent)
+        lease.state?.recordFirstEvent(tokens = lease.tokensAhead, firstMs = message.firstMs)
     }
 
     private fun ended(from: HostRef, message: SlotMessage.Ended) {
         val lease = clients[from]?.leases?.remove(message.number) ?: return
+        recordPace(from, lease, message.result.pacePercent)
         lease.state?.recordResult(message.result)
         if (message.result.isUnlimited) limitEnded(from, lease)
         free(lease)
     }
 
+    // This host has recorded the pace when the response to its own request arrived.
+    private fun recordPace(from: HostRef, lease: Lease, percent: Int?) {
+        if (from != self && percent != null) lease.state?.pace?.record(percent)
+    }
+
     // The time at which another host granted a slot is not known here.
     private fun limitEnded(from: HostRef, lease: Lease) {
         val state = lease.state ?: return
--- a/gateway/forwarding/src/test/kotlin/org/hyssoprack/gateway/forwarding/EventSplitterTest.kt
+++ b/gateway/forwarding/src/test/kotlin/org/hyssoprack/gateway/forwarding/EventSplitterTest.kt
@@ -33,6 +33,8 @@
             val relayed = case.pieces.map { splitter.add(it.encodeToByteArray()).decodeToString() }
             assertThat(relayed, "${case.pieces}").isEqualTo(case.relayed)
             assertThat(splitter.lastEventId, "${case.pieces}").isEqualTo(case.id)
+            val ends = case.relayed.sumOf { Regex("[^\\r\\n]\\r?\\n\\r?\\n").findAll(it).count() }
+            assertThat(splitter.count, "${case.pieces}").isEqualTo(ends)
         }
     }
 
--- a/gateway/forwarding/src/test/kotlin/org/hyssoprack/gateway/forwarding/failover/PlainWireFormat.kt
+++ b/gateway/forwarding/src/test/kotlin/org/hyssoprack/gateway/forwarding/failover/PlainWireFormat.kt
@@ -11,6 +11,7 @@
 import org.hyssoprack.gateway.RequestMetadata
 import org.hyssoprack.gateway.ResponseMetadata
 import org.hyssoprack.gateway.WireFormat
+import org.hyssoprack.serving.placement.ReportedLoad
 
 /** [WireFormat] with as few headers as the tests need. */
 internal object PlainWireFormat : WireFormat {
@@ -19,6 +20,9 @@
     /** Shared parts of the prompt, separated by commas. */
     const val PARTS = "parts"
 
+    /** Pace of the server, in percent. */
+    const val PACE = "pace"
+
     override fun readRequest(headers: HttpHeaders): Either<Failure, RequestMetadata> =
         RequestMetadata(
             id = headers[ScriptedServers.REQUEST_ID],
@@ -40,7 +44,10 @@
         requestId = head.headers()[ScriptedServers.REQUEST_ID],
         isSealed = true,
         isNotRun = false,
-        isOtherServer = false
+        isOtherServer = false,
+        load = head.headers().getInt(PACE)?.let {
+            ReportedLoad(running = 0, waiting = 0, pacePercent = it)
+        }
     )
 
     override fun answerHeaders(servers: HttpHeaders): HttpHeaders = servers
--- a/gateway/forwarding/src/test/kotlin/org/hyssoprack/gateway/forwarding/failover/ScriptedServers.kt
+++ b/gateway/forwarding/src/test/kotlin/org/hyssoprack/gateway/forwarding/failover/ScriptedServers.kt
@@ -128,10 +128,11 @@
         val sharedParts: List<String>,
         private val put: (ResponsePart) -> Unit
     ) {
-        fun head(status: Int = 200) {
+        fun head(status: Int = 200, pacePercent: Int? = null) {
             val head =
                 DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(status))
             head.headers().set(REQUEST_ID, requestId)
+            pacePercent?.let { head.headers().set(PlainWireFormat.PACE, it) }
             put(ResponsePart.Head(head))
         }
 
--- a/gateway/forwarding/src/test/kotlin/org/hyssoprack/gateway/forwarding/slots/SlotMessageTest.kt
+++ b/gateway/forwarding/src/test/kotlin/org/hyssoprack/gateway/forwarding/slots/SlotMessageTest.kt
@@ -18,6 +18,8 @@
 import org.hyssoprack.serving.limits.PartReport
 import org.hyssoprack.serving.limits.SuspectCrash
 import org.hyssoprack.serving.limits.SuspectPart
+import org.hyssoprack.serving.placement.SlotOutcome
+import org.hyssoprack.serving.placement.SlotResult
 
 class SlotMessageTest {
     private val format = Json {
@@ -47,6 +49,8 @@
         val cases = listOf(
             Case(REQUEST_BEFORE, request),
             Case("""{"type":"sg","n":1,"s":"b"}""", SlotMessage.Granted(1, BackendServerId("b"))),
+            Case("""{"type":"sp","n":1,"f":20}""", SlotMessage.PromptRead(1, firstMs = 20)),
+            Case("""{"type":"se","n":1,"r":{"o":"FAILED"}}""", SlotMessage.Ended(1, FAILED)),
             Case("""{"type":"st"}""", SlotMessage.Report()),
             Case("""{"type":"sn"}""", SlotMessage.OwnerStatus(parts = null))
         )
@@ -84,7 +88,9 @@
             SlotMessage.Granted(number = 1, server = BackendServerId("b"), isTrial = true),
             SlotMessage.Report(parts = report),
             SlotMessage.OwnerStatus(parts = listOf(suspect)),
-            SlotMessage.OwnerStatus(parts = emptyList())
+            SlotMessage.OwnerStatus(parts = emptyList()),
+            SlotMessage.PromptRead(1, firstMs = 20, pacePercent = 140),
+            SlotMessage.Ended(1, FAILED.copy(isConnectionLost = true, pacePercent = 140))
         )
         for (message in messages) {
             val text = format.encodeToString(serializer, message)
@@ -100,6 +106,7 @@
     }
 
     private companion object {
+        val FAILED = SlotResult(SlotOutcome.FAILED)
         const val REQUEST_BEFORE =
             """{"type":"sa","n":1,"s":"s","d":"z","r":0,"b":0,"t":400,"g":5000,"e":10000,"m":10000}"""
     }
--- a/gateway/forwarding/src/test/kotlin/org/hyssoprack/gateway/forwarding/slots/SlotOwnerTest.kt
+++ b/gateway/forwarding/src/test/kotlin/org/hyssoprack/gateway/forwarding/slots/SlotOwnerTest.kt
@@ -26,6 +26,8 @@
 import org.hyssoprack.serving.placement.SlotOutcome
 import org.hyssoprack.serving.placement.SlotResult
 import org.hyssoprack.serving.settings.Account
+import org.hyssoprack.serving.settings.EngineSpec
+import org.hyssoprack.serving.settings.ServiceSpec
 
 class SlotOwnerTest {
     private val clock = ManualClock(100_000)
@@ -55,17 +57,7 @@
     init {
         ledger.restore(mapOf(account.name to RecordedUsage(emptyList(), 0)))
         clock.advance(20_000)
-        pools.updateServers(
-            listOf(
-                RegisteredServer(
-                    id = server,
-                    service = service,
-                    address = NetworkAddress("10.0.0.1", 80),
-                    domain = FailureDomain("z"),
-                    slots = 1
-                )
-            )
-        )
+        pools.updateServers(listOf(registered()))
         listOf(a, b).forEach { owner.receive(it, SlotMessage.Report()) }
     }
 
@@ -231,6 +223,49 @@
         assertThat(status.limits).isEqualTo(listOf(ServerLimit(instance, 1.0, ageMs = 10)))
     }
 
+    /** Guards against an owner that places by the usual speed, or counts its own figures twice. */
+    @Example
+    fun `the owner takes the pace from messages of other hosts`() {
+        class Case(val name: String, val from: HostRef, val message: SlotMessage, val pace: Int?)
+        val result = SlotResult(SlotOutcome.SUCCEEDED, pacePercent = 140)
+        val cases = listOf(
+            Case("its own", self, SlotMessage.Ended(1, result), pace = null),
+            Case("first event", a, SlotMessage.PromptRead(1, firstMs = 20, 250), pace = 250),
+            Case("end", a, SlotMessage.Ended(1, result), pace = 140),
+            Case("no figure", a, SlotMessage.PromptRead(1, firstMs = 20), pace = 140)
+        )
+        for (case in cases) {
+            owner.receive(case.from, request(1))
+            owner.receive(case.from, case.message)
+            assertThat(pools[service].state(server)!!.pace.lastPercent, case.name)
+                .isEqualTo(case.pace)
+            owner.receive(case.from, SlotMessage.Cancelled(1))
+        }
+    }
+
+    /** Guards against requests that wait for a server that would never accept them. */
+    @Example
+    fun `a request that exceeds the memory of every server is refused at once`() {
+        val engine = EngineSpec(slots = 1, memoryTokens = 1_000)
+        val spec = ServiceSpec(service, healthPath = "/", maxConnections = 9, engine = engine)
+        pools.updateServices(mapOf(service to spec))
+        pools.updateServers(listOf(registered(born = 2)))
+        class Case(val tokens: Int, val pace: Int?, val isRefused: Boolean)
+        val cases = listOf(
+            Case(tokens = 1_001, pace = null, isRefused = false),
+            Case(tokens = 1_001, pace = 100, isRefused = true),
+            Case(tokens = 1_000, pace = 100, isRefused = false)
+        )
+        for (case in cases) {
+            case.pace?.let { pools[service].state(server)!!.pace.record(it) }
+            owner.receive(a, request(1).copy(promptTokens = case.tokens))
+            val code = (last(a) as? SlotMessage.Refused)?.code
+            val expected = ResultCode.MEMORY_EXCEEDED.number.takeIf { case.isRefused }
+            assertThat(code, "${case.tokens} ${case.pace}").isEqualTo(expected)
+            owner.receive(a, SlotMessage.Cancelled(1))
+        }
+    }
+
     private val instance get() = pools[service].state(server)!!.server.instance
 
     private fun report(from: HostRef, ageMs: Long) = owner.receive(
@@ -238,6 +273,15 @@
         SlotMessage.Report(limits = listOf(ServerLimit(instance, perS = 1.0, ageMs = ageMs)))
     )
 
+    private fun registered(born: Long = 1) = RegisteredServer(
+        id = server,
+        service = service,
+        address = NetworkAddress("10.0.0.1", 80),
+        domain = FailureDomain("z"),
+        slots = 1,
+        bornMs = born
+    )
+
     private fun running(number: Long) =
         RunningSlot(number = number, service = service, server = server, endMs = 9_000)
 
