Take a status outside 100 to 599, and an early end without a length, for no response

Netty decodes any number as a status, and such responses reached callers: all nine tried ones (000, 0, 20, 099, 600, 999, 2000, +200, 0200) on plain routes and streams. ServerResponseDecoder takes them for a malformed head, so that the connection is closed and the attempt counts as failed after it may have run.

A response without a length that ends in order while its request is still being written reached callers as a complete 200. The server cannot have read the request, so the response is now broken off.

--- a/gateway/netty/src/main/kotlin/org/hyssoprack/gateway/netty/NettyServerConnection.kt
+++ b/gateway/netty/src/main/kotlin/org/hyssoprack/gateway/netty/NettyServerConnection.kt
@@ -45,8 +45,14 @@
     private var isAwaitingResponse = false
     private var isIdle = false
 
-    /** Whether a part of the request has still to be written, also after an early response. */
+    /**
+     * Whether a part of the request has still to be written, also after an early response; stays
+     * set if the write fails.
+     */
     private var isWriting = false
+
+    /** Whether the response has neither a length nor chunks, so that it ends with its connection. */
+    private var isUnframed = false
     private var isReusable = true
     private var isClosedHere = false
     private var isInterim = false
@@ -107,7 +113,7 @@
     // After a failed write Netty closes the channel without exceptionCaught, and the decoder ends a
     // response without a length as if the server had closed the connection.
     private fun recordWritten(cause: Throwable?) {
-        isWriting = false
+        if (cause == null) isWriting = false
         val isReset = cause is IOException && cause !is ClosedChannelException
         if (isReset) failure = failure ?: cause?.message ?: "write failed"
     }
@@ -183,6 +189,9 @@
         }
         if (!isAwaitingResponse) isReusable = false
         if (!HttpUtil.isKeepAlive(head)) isReusable = false
+        isUnframed =
+            !HttpUtil.isContentLengthSet(head) &&
+            !HttpUtil.isTransferEncodingChunked(head)
         put(ResponsePart.Head(head))
     }
 
@@ -198,11 +207,19 @@
         val bytes = content.content()
         if (bytes.isReadable) chunks += ByteBufUtil.getBytes(bytes)
         if (content !is LastHttpContent || failure != null) return
+        if (isCutOff()) {
+            failure = "closed before the request was written"
+            return
+        }
         isAwaitingResponse = false
         putBody()
         put(ResponsePart.End)
     }
 
+    // Only the end of the connection marks the end of such a response, and a server that ends it
+    // without having read the request has not completed its response.
+    private fun isCutOff() = isUnframed && isWriting && channel?.isActive == false
+
     private fun fail(reason: String) {
         failure = reason
         isClosedHere = true
--- a/gateway/netty/src/main/kotlin/org/hyssoprack/gateway/netty/ServerResponseDecoder.kt
+++ b/gateway/netty/src/main/kotlin/org/hyssoprack/gateway/netty/ServerResponseDecoder.kt
@@ -16,8 +16,10 @@
     /** Whether the server has sent a part of a message that is not decoded yet. */
     val hasUndecodedBytes: Boolean get() = isWithinHead || actualReadableBytes() > 0
 
+    /** Creates the head; the decoder takes an exception for a malformed message. */
     override fun createMessage(initialLine: Array<String>): HttpMessage {
         isWithinHead = true
+        require(STATUS.matches(initialLine[1])) { "status outside 100 to 599" }
         return super.createMessage(initialLine)
     }
 
@@ -30,6 +32,8 @@
         isForHead || super.isContentAlwaysEmpty(message)
 
     private companion object {
+        /** Netty's decoder accepts any number that is not negative. */
+        val STATUS = Regex("[1-5][0-9]{2}")
         val BOUNDS: HttpDecoderConfig = HttpDecoderConfig()
             .setMaxInitialLineLength(65_536)
             .setMaxHeaderSize(65_536)
