--- a/core/serving/src/test/kotlin/org/hyssoprack/serving/placement/PacedPlacementTest.kt
+++ b/core/serving/src/test/kotlin/org/hyssoprack/serving/placement/PacedPlacementTest.kt
@@ -5,29 +5,16 @@
 import assertk.assertions.isEqualTo
 import kotlin.random.Random
 import net.jqwik.api.Example
-import org.hyssoprack.common.BackendServerId
 import org.hyssoprack.common.FailureDomain
 import org.hyssoprack.common.ManualClock
-import org.hyssoprack.common.NetworkAddress
-import org.hyssoprack.common.ServiceId
-import org.hyssoprack.serving.fleet.RegisteredServer
 
 /** Placement by what servers report of their speed, and by their memory. */
 class PacedPlacementTest {
     private val clock = ManualClock(1_000)
     private val chooser = ServerChooser(FailureDomain("d0"), Random(7))
 
-    private fun state(id: String, pace: Int? = null, memory: Long = 100_000) = ServerState(
-        server = RegisteredServer(
-            id = BackendServerId(id),
-            service = ServiceId("s"),
-            address = NetworkAddress("10.0.0.1", 80),
-            domain = FailureDomain("d0"),
-            slots = 4
-        ),
-        clock = clock,
-        memoryTokens = memory
-    ).also { state -> pace?.let { state.pace.record(it) } }
+    private fun state(id: String, pace: Int? = null) = serverState(clock, id, memory = 100_000)
+        .also { state -> pace?.let { state.pace.record(it) } }
 
     private fun choose(work: WorkEstimate, targetMs: Long, vararg states: ServerState) =
         chooser.choose(
--- a/core/serving/src/test/kotlin/org/hyssoprack/serving/placement/RecordedPlacementTest.kt
+++ b/core/serving/src/test/kotlin/org/hyssoprack/serving/placement/RecordedPlacementTest.kt
@@ -4,12 +4,8 @@
 import assertk.assertions.isEqualTo
 import kotlin.random.Random
 import net.jqwik.api.Example
-import org.hyssoprack.common.BackendServerId
 import org.hyssoprack.common.FailureDomain
 import org.hyssoprack.common.ManualClock
-import org.hyssoprack.common.NetworkAddress
-import org.hyssoprack.common.ServiceId
-import org.hyssoprack.serving.fleet.RegisteredServer
 
 class RecordedPlacementTest {
     private val clock = ManualClock(1_000)
@@ -43,23 +39,13 @@
         assertThat("$chosen $digest").isEqualTo("5939 123598737460338438")
     }
 
-    private fun work() = when {
-        random.nextInt(5) == 0 -> WorkEstimate()
-        else -> WorkEstimate(random.nextInt(20_000), random.nextInt(900))
+    private fun work(): WorkEstimate {
+        if (random.nextInt(5) == 0) return WorkEstimate()
+        return WorkEstimate(random.nextInt(20_000), random.nextInt(900))
     }
 
     private fun state(index: Int): ServerState {
-        val state = ServerState(
-            server = RegisteredServer(
-                id = BackendServerId("$index"),
-                service = ServiceId("s"),
-                address = NetworkAddress("10.0.0.1", 80),
-                domain = FailureDomain("d${index % 3}"),
-                slots = 4
-            ),
-            clock = clock,
-            memoryTokens = 40_000
-        )
+        val state = serverState(clock, "$index", memory = 40_000, domain = "d${index % 3}")
         if (random.nextBoolean()) state.speed.recordPrompt(2_000, random.nextLong(20, 200))
         if (random.nextBoolean()) {
             val ms = random.nextLong(200, 3_000)
--- a/gateway/forwarding/src/test/kotlin/org/hyssoprack/gateway/forwarding/slots/PassedPaceTest.kt
+++ b/gateway/forwarding/src/test/kotlin/org/hyssoprack/gateway/forwarding/slots/PassedPaceTest.kt
@@ -56,24 +56,14 @@
         }
     }
 
+    /** @param paces paces in the messages on requests, in their order. */
     private class Fleet(
-        messages: ArrayList<SlotMessage> = ArrayList(),
+        val paces: ArrayList<Int?> = ArrayList(),
         answer: suspend (ScriptedServers.Response) -> Unit
-    ) : SimulatedFleet(Random(1), hostCount = 2, transform = { it.also { messages += it } }) {
+    ) : SimulatedFleet(Random(1), hostCount = 2, transform = { it.also { paces.record(it) } }) {
         private val address = NetworkAddress("10.0.0.2", 80)
         private val servers = ScriptedServers(scope, clock)
 
-        /** Paces in the messages on a request, in their order. */
-        val paces by lazy {
-            messages.mapNotNull {
-                when (it) {
-                    is SlotMessage.PromptRead -> listOf(it.pacePercent)
-                    is SlotMessage.Ended -> listOf(it.result.pacePercent)
-                    else -> null
-                }
-            }.flatten()
-        }
-
         init {
             servers.script(address) {
                 answer(it)
@@ -112,5 +102,10 @@
 
     private companion object {
         const val SETTLE_MS = 3_000L
+
+        fun ArrayList<Int?>.record(message: SlotMessage) {
+            if (message is SlotMessage.PromptRead) add(message.pacePercent)
+            if (message is SlotMessage.Ended) add(message.result.pacePercent)
+        }
     }
 }
