Split the slot client and the slot owner into classes of one job each

Cause: SlotClient (420 lines) and SlotOwner (377) mixed the contact with the owner, waiting for decisions, reports, charges and leases. No change of behaviour.

--- /dev/null
+++ b/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/slots/SlotRequests.kt
@@ -0,0 +1,146 @@
+package org.hyssoprack.gateway.forwarding.slots
+
+import arrow.core.Either
+import arrow.core.left
+import arrow.core.right
+import kotlinx.coroutines.withTimeoutOrNull
+import org.hyssoprack.common.BackendServerId
+import org.hyssoprack.common.Clock
+import org.hyssoprack.common.Failure
+import org.hyssoprack.common.HostId
+import org.hyssoprack.common.HostRef
+import org.hyssoprack.common.MessageNumbers
+import org.hyssoprack.common.ResultCode
+import org.hyssoprack.gateway.forwarding.ServerPools
+import org.hyssoprack.serving.queue.QueuedRequest
+
+/** Requests slots from the slot owner and waits for its decisions. */
+internal class SlotRequests(
+    private val self: HostId,
+    private val pools: ServerPools,
+    private val contact: OwnerContact,
+    private val messages: RequestMessages,
+    private val running: RunningSlots,
+    private val charges: SlotCharges,
+    private val numbers: MessageNumbers,
+    private val clock: Clock,
+    private val firstReplyMs: Long,
+    private val send: (HostId, SlotMessage) -> Unit
+) {
+    private val pending = HashMap<Long, PendingRequest>()
+
+    fun queued(message: SlotMessage.Queued) {
+        pending[message.number]?.queued()
+    }
+
+    fun refused(message: SlotMessage.Refused) {
+        pending[message.number]?.decided(message)
+    }
+
+    fun granted(from: HostRef, granted: SlotMessage.Granted) {
+        val pendingRequest = pending[granted.number]
+        if (pendingRequest == null) {
+            send(from.host, SlotMessage.Cancelled(granted.number))
+        } else {
+            pendingRequest.decided(granted)
+        }
+    }
+
+    /** Ends the requests to [owner], which does not decide them. */
+    fun abandon(owner: HostId) {
+        pending.values.filter { it.owner == owner }.forEach { it.decided(SlotMessage.NotReady) }
+    }
+
+    /** Requests a slot from [owner]. Returns null if it does not decide. */
+    suspend fun requestFrom(
+        owner: HostId,
+        request: QueuedRequest,
+        charge: QuotaCharge?
+    ): Either<Failure, Slot>? {
+        val unusable = HashSet<BackendServerId>()
+        repeat(MAX_REQUESTS) {
+            val number = numbers.next()
+            val pendingRequest = PendingRequest(owner)
+            pending[number] = pendingRequest
+            try {
+                send(owner, messages.requestOf(owner, number, request, charge, unusable))
+                when (val decision = decisionOf(owner, pendingRequest, request) ?: return null) {
+                    is SlotMessage.Refused -> {
+                        pendingRequest.isDecisionUsed = true
+                        return failureOf(decision).left()
+                    }
+
+                    is SlotMessage.Granted -> {
+                        slotOf(owner, decision, request, charge)?.let {
+                            pendingRequest.isDecisionUsed = true
+                            return it.right()
+                        }
+                        unusable += decision.server
+                    }
+
+                    else -> return null
+                }
+            } finally {
+                pending.remove(number)
+                if (!pendingRequest.isDecisionUsed) send(owner, SlotMessage.Cancelled(number))
+            }
+        }
+        return null
+    }
+
+    private suspend fun decisionOf(
+        owner: HostId,
+        pendingRequest: PendingRequest,
+        request: QueuedRequest
+    ): SlotMessage? {
+        if (withTimeoutOrNull(firstReplyMs) { pendingRequest.firstReply.await() } == null) {
+            contact.silent(owner)
+            return null
+        }
+        while (true) {
+            withTimeoutOrNull(CHECK_MS) { pendingRequest.decision.await() }?.let { return it }
+            val isOver = clock.nowMs() > request.giveUpMs + CHECK_MS
+            if (isOver || contact.owner != owner || contact.isUnresponsive) return null
+        }
+    }
+
+    /** Returns the granted slot, or null if this host must not send to its server. */
+    private fun slotOf(
+        owner: HostId,
+        granted: SlotMessage.Granted,
+        request: QueuedRequest,
+        charge: QuotaCharge?
+    ): Slot? {
+        val state = pools[request.service].state(granted.server) ?: return null
+        if (state.server.isLeaving || state.closedMs > 0) return null
+        if (!granted.isLimitKept) {
+            if (!state.isWithinRateLimit) return null
+            state.rateLimit?.take()
+        }
+        charges.chargedBy(owner, charge)
+        if (owner != self) state.recordDispatch(request.work)
+        return running.add(
+            number = granted.number,
+            request = request,
+            owner = owner,
+            tokensAhead = granted.promptTokens,
+            state = state,
+            isTrial = granted.isTrial
+        )
+    }
+
+    private fun failureOf(refused: SlotMessage.Refused) = Failure(
+        code = ResultCode.ofNumber(refused.code) ?: ResultCode.NO_BACKEND_SERVER,
+        detail = refused.detail,
+        retryAfterMs = refused.retryAfterMs
+    )
+
+    private companion object {
+        // Interval at which a waiting request checks whether its owner is gone and it has to use
+        // another one.
+        const val CHECK_MS = 200L
+
+        // More than one, since the first granted server may be closed to this host only.
+        const val MAX_REQUESTS = 2
+    }
+}
