Keep the slot owner under load, and decide alone within a part of the slots

Causes: 150 ms without a reply to one request marked the owner unresponsive for 500 ms for all requests of the host, which gave up what waited there and cancelled it; the owner was hashed anew with every member view, so suspicion, late probes and a NotReady of late settings changed it; hosts that decided alone all picked the server that was free a second ago.

Change: an owner that most hosts report to claims the ownership with a term, and hosts keep the highest term until the owner leaves, says that it cannot serve, or sends nothing to several hosts for 1.5 s (OwnerChoice, OwnerHeartbeats, OwnerLossDetector). A late reply concerns its own request only, which may use this host's part of the slots (DecisionsAlone). While the next owner is being found, requests wait for it in place of being refused.

--- a/core/common/src/main/kotlin/org/hyssoprack/common/MessageNumbers.kt
+++ b/core/common/src/main/kotlin/org/hyssoprack/common/MessageNumbers.kt
@@ -7,9 +7,12 @@
  * number in common, so a late reply to a message of a former run matches none of this run's.
  */
 class MessageNumbers(run: Incarnation) {
-    private val last = AtomicLong(run.value shl BITS_PER_MS)
+    private val counter = AtomicLong(run.value shl BITS_PER_MS)
 
-    fun next(): Long = last.incrementAndGet()
+    /** The number that was given last. */
+    val last: Long get() = counter.get()
+
+    fun next(): Long = counter.incrementAndGet()
 
     private companion object {
         // A run that sends up to a million messages a millisecond does not reach the numbers of the
--- a/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/ServerPool.kt
+++ b/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/ServerPool.kt
@@ -83,6 +83,13 @@
         }
     }
 
+    /**
+     * Grants a free slot of one of the servers [among] at once; null if there is none or other
+     * requests wait.
+     */
+    fun tryAcquire(request: QueuedRequest, among: Set<BackendServerId>): ServerState? =
+        if (queue.size > 0) null else grant(request, states.values.filter { it.server.id in among })
+
     /**
      * Requests a slot. Calls [settle] once, immediately or later, unless the request is withdrawn.
      */
@@ -192,11 +199,14 @@
         }
     }
 
-    private fun grant(request: QueuedRequest): ServerState? {
+    private fun grant(
+        request: QueuedRequest,
+        servers: Collection<ServerState> = states.values
+    ): ServerState? {
         val candidates = if (request.avoid.isEmpty()) {
-            states.values
+            servers
         } else {
-            states.values.filter { it.server.id !in request.avoid }.ifEmpty { states.values }
+            servers.filter { it.server.id !in request.avoid }.ifEmpty { servers }
         }
         val nowMs = clock.nowMs()
         val state =
--- a/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/slots/OwnerContact.kt
+++ b/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/slots/OwnerContact.kt
@@ -5,51 +5,81 @@
 import org.hyssoprack.common.HostId
 import org.hyssoprack.common.eq
 
-/** The slot owner that this host uses, and whether it replies. */
-internal class OwnerContact(private val clock: Clock, private val log: EventLog) {
+/** The slot owner that this host uses, and the time since its last message. */
+internal class OwnerContact(
+    private val self: HostId,
+    private val clock: Clock,
+    private val log: EventLog
+) {
     /** The owner in use; null if none is known. */
     var owner: HostId? = null
         private set
 
-    private var unresponsiveUntilMs: Long? = null
+    private var heardMs = clock.nowMs()
+    private var tickMs = clock.nowMs()
+    private var isSilenceLogged = false
 
-    /** Whether the owner did not reply to a request in time and has not sent anything since. */
-    val isUnresponsive: Boolean get() = unresponsiveUntilMs != null
+    /** Time since the owner's last message, in milliseconds. */
+    val silentMs: Long get() = if (owner == self) 0 else clock.nowMs() - heardMs
+
+    /**
+     * Whether the owner has sent nothing for longer than load delays all of its messages, so that
+     * requests are decided without it.
+     */
+    val isSilent: Boolean get() = silentMs > SILENT_MS
+
+    /** Whether a silent owner may still reply, or be replaced by another one, before long. */
+    val isReplyPossible: Boolean get() = owner != null && silentMs <= REPLACED_MS
+
+    /** The owner to send requests to; null if there is none or it is silent. */
+    val responsiveOwner: HostId? get() = owner.takeUnless { isSilent }
 
     /** Uses [now] from now on. */
     fun change(now: HostId?) {
-        log.event("slot-owner", "owner" eq now, "before" eq owner)
+        log.event("slot-owner", "owner" eq now, "before" eq owner, "silentMs" eq silentMs)
         owner = now
-        unresponsiveUntilMs = null
+        heard()
+        isSilenceLogged = false
     }
 
     /** Records a message of [host]. */
     fun heard(host: HostId) {
         if (host != owner) return
-        if (unresponsiveUntilMs != null) log.event("slot-owner-answers", "owner" eq owner)
-        unresponsiveUntilMs = null
-    }
-
-    /** Records that [host] did not reply to a request in time. */
-    fun silent(host: HostId) {
-        if (host != owner) return
-        if (unresponsiveUntilMs == null) log.event("slot-owner-silent", "owner" eq host)
-        unresponsiveUntilMs = clock.nowMs() + UNRESPONSIVE_PAUSE_MS
+        if (isSilenceLogged) {
+            log.event("slot-owner-answers", "owner" eq owner, "silentMs" eq silentMs)
+        }
+        isSilenceLogged = false
+        heard()
     }
 
     /**
-     * Returns the owner to use. An owner that does not reply gets only one request per
-     * [UNRESPONSIVE_PAUSE_MS].
+     * Logs that the owner is silent; called several times a second. After a pause of this host, its
+     * own delay is no evidence of the owner's silence.
      */
-    fun responsiveOwner(): HostId? {
-        val untilMs = unresponsiveUntilMs ?: return owner
+    fun tick() {
         val nowMs = clock.nowMs()
-        if (nowMs < untilMs) return null
-        unresponsiveUntilMs = nowMs + UNRESPONSIVE_PAUSE_MS
-        return owner
+        if (nowMs - tickMs > PAUSE_MS) heard()
+        tickMs = nowMs
+        if (!isSilent || isSilenceLogged || owner == null) return
+        isSilenceLogged = true
+        log.event("slot-owner-silent", "owner" eq owner, "silentMs" eq silentMs)
+    }
+
+    private fun heard() {
+        heardMs = clock.nowMs()
     }
 
-    private companion object {
-        const val UNRESPONSIVE_PAUSE_MS = 500L
+    companion object {
+        /** Time without a message from an owner, at several hosts, after which it is lost. */
+        const val LOST_MS = 1_500L
+
+        // The owner sends something every 550 ms or more often; the rest allows for its delays.
+        private const val SILENT_MS = 1_000L
+
+        // The loss of an owner is concluded, and the next one used, within this time.
+        private const val REPLACED_MS = 3_000L
+
+        // Several ticks.
+        private const val PAUSE_MS = 600L
     }
 }
--- a/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/slots/OwnerReports.kt
+++ b/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/slots/OwnerReports.kt
@@ -2,6 +2,7 @@
 
 import org.hyssoprack.common.Clock
 import org.hyssoprack.common.HostId
+import org.hyssoprack.common.MessageNumbers
 import org.hyssoprack.gateway.forwarding.ServerPools
 import org.hyssoprack.serving.limits.LocalQuota
 
@@ -11,6 +12,8 @@
     private val quota: LocalQuota,
     private val running: RunningSlots,
     private val contact: OwnerContact,
+    private val waitingAt: (HostId) -> Set<Long>,
+    private val numbers: MessageNumbers,
     private val clock: Clock,
     private val send: (HostId, SlotMessage) -> Unit
 ) {
@@ -44,7 +47,17 @@
         val limits = if (isFirst) pools.limits.all() else pools.limits.takeUnreported()
         val leaving = pools.leaving.toSet()
         val parts = pools.parts.takeReport(isFirst)
-        send(to, SlotMessage.Report(slots, quota.recent(), usedShares, leaving, limits, parts))
+        val report = SlotMessage.Report(
+            running = slots,
+            used = quota.recent(),
+            usedShares = usedShares,
+            leaving = leaving,
+            limits = limits,
+            parts = parts,
+            waiting = waitingAt(to),
+            lastNumber = numbers.last
+        )
+        send(to, report)
     }
 
     private companion object {
--- a/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/slots/OwnerStatusSender.kt
+++ b/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/slots/OwnerStatusSender.kt
@@ -27,15 +27,15 @@
      * Sends the status if it is due, if a rate limit or what is known of parts of prompts has
      * changed, or if the usage of an account has grown by [STATUS_GROWTH].
      */
-    fun sendIfDue(usedShares: Map<ClientAccount, Double>) {
+    fun sendIfDue(usedShares: Map<ClientAccount, Double>, claim: SlotMessage.OwnerClaim?) {
         val hasGrown = usedShares.any { (name, share) ->
             share - (sentShares[name] ?: 0.0) >= STATUS_GROWTH
         }
         val isLimitChanged = pools.limits.changes != sentLimitChanges
-        if (isDue || hasGrown || isLimitChanged || isPartChanged) send(usedShares)
+        if (isDue || hasGrown || isLimitChanged || isPartChanged) send(usedShares, claim)
     }
 
-    private fun send(usedShares: Map<ClientAccount, Double>) {
+    private fun send(usedShares: Map<ClientAccount, Double>, claim: SlotMessage.OwnerClaim?) {
         sentShares = usedShares
         statusMs = clock.nowMs()
         sentLimitChanges = pools.limits.changes
@@ -47,7 +47,8 @@
             loads = pools.loads(),
             leaving = pools.leaving,
             limits = pools.limits.all(),
-            parts = pools.parts.registry.records()
+            parts = pools.parts.registry.records(),
+            claim = claim
         )
         hosts.forEach { send(it, status) }
     }
--- a/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/slots/RunningSlots.kt
+++ b/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/slots/RunningSlots.kt
@@ -1,7 +1,9 @@
 package org.hyssoprack.gateway.forwarding.slots
 
+import org.hyssoprack.common.BackendServerId
 import org.hyssoprack.common.Clock
 import org.hyssoprack.common.HostId
+import org.hyssoprack.common.ServiceId
 import org.hyssoprack.gateway.forwarding.ServerPools
 import org.hyssoprack.serving.placement.ServerState
 import org.hyssoprack.serving.queue.QueuedRequest
@@ -35,6 +37,11 @@
         notifyOwner = ::notifyOwner
     ).also { running[number] = it }
 
+    /** Returns the number of slots of each server of [service] that this host allocated itself. */
+    fun aloneCounts(service: ServiceId): Map<BackendServerId, Int> = running.values
+        .filter { it.owner == null && it.request.service == service }
+        .groupingBy { it.state.server.id }.eachCount()
+
     /** Returns the slots for a report to [to]. */
     fun reportFor(to: HostId): List<RunningSlot> {
         val nowMs = clock.nowMs()
--- a/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/slots/ServingHosts.kt
+++ b/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/slots/ServingHosts.kt
@@ -1,8 +1,6 @@
 package org.hyssoprack.gateway.forwarding.slots
 
-import org.hyssoprack.common.BackendServerId
 import org.hyssoprack.common.Clock
-import org.hyssoprack.common.FailureDomain
 import org.hyssoprack.common.HostId
 import org.hyssoprack.common.HostRef
 import org.hyssoprack.membership.Member
@@ -25,63 +23,45 @@
     private val view: () -> MemberView,
     private val clock: Clock,
     private val settleMs: Long,
-    private val ownership: Ownership = RendezvousOwnership(),
-    private val isReady: () -> Boolean = { true }
+    ownership: Ownership = RendezvousOwnership(),
+    isReady: () -> Boolean = { true }
 ) {
-    private var ownerView: MemberView? = null
-    private var ownerMs = 0L
-    private var wasReady = false
-    private var owner: HostId? = null
+    private val readiness = SteadyReadiness(clock, isReady)
+    private val choice =
+        OwnerChoice(self, view, clock, settleMs, ownership, readiness::isSteady)
 
     private var positionView: MemberView? = null
     private var position = HostPosition(index = 0, count = 1)
 
-    private val unavailableUntilMs = HashMap<HostId, Long>()
-    private val unavailableMs = HashMap<HostId, Long>()
-    private val unavailableCounts = HashMap<HostId, Int>()
-
-    /** Returns the slot owner: one of the live members with high capacity, chosen by hashing. */
-    fun owner(): HostId? {
-        val now = view()
-        val nowMs = clock.nowMs()
-        val isReady = isReady()
-        val isCurrent = now === ownerView && isReady == wasReady
-        if (isCurrent && nowMs - ownerMs < OWNER_LIFETIME_MS) return owner
-        unavailableUntilMs.values.removeIf { it <= nowMs }
-        ownerView = now
-        ownerMs = nowMs
-        wasReady = isReady
-        owner = chooseOwner(now)
-        return owner
-    }
+    /** Returns the slot owner in this host's view; null if there is none. */
+    fun owner(): HostId? = choice.owner()
 
     /**
      * Excludes [host] from the choice of the owner for a time, after it replied that it cannot
      * grant slots now. The member view does not show this: whether a member has settings in force
      * is not known here until it has replied to this host.
      */
-    fun markUnavailable(host: HostId) {
-        val nowMs = clock.nowMs()
-        val isFirst = nowMs - (unavailableMs[host] ?: Long.MIN_VALUE / 2) > UNAVAILABLE_MEMORY_MS
-        val times = if (isFirst) 0 else unavailableCounts[host] ?: 0
-        unavailableMs[host] = nowMs
-        unavailableCounts[host] = times + 1
-        unavailableUntilMs[host] =
-            nowMs + (UNAVAILABLE_MS shl minOf(times, MAX_UNAVAILABLE_DOUBLINGS))
-        ownerView = null
-    }
+    fun markUnavailable(host: HostId) = choice.markUnavailable(host)
+
+    /** Excludes [host] from the choice of the owner until it sends a message again. */
+    fun markLost(host: HostId) = choice.markLost(host)
+
+    /** Records a message of [host]. */
+    fun heard(host: HostId) = choice.heard(host)
 
-    private fun chooseOwner(now: MemberView): HostId? {
-        val ready = now.members.values
-            .filter { it.state == MemberState.ALIVE && it.ref.host !in unavailableUntilMs }
-            .filter { it.ref.host != self.host || wasReady }
-        val settled = ready.filter { clock.epochMs() - it.ref.incarnation.value >= settleMs }
-        val candidates = settled.ifEmpty { ready }
-        val maxCapacity = candidates.maxOfOrNull { it.capacity } ?: return null
-        val strong = candidates.filter {
-            it.capacity >= maxCapacity * CAPACITY_SHARE
-        }.associateBy { it.ref.host }
-        return ownership.owner(MemberView(strong), SLOTS, ANY_DOMAIN)
+    /** Returns the time since the last message of [host], in milliseconds; null without one. */
+    fun silentMs(host: HostId): Long? = choice.silentMs(host)
+
+    /** Follows the owner of [claim] if its term is the highest. */
+    internal fun accept(claim: SlotMessage.OwnerClaim) = choice.accept(claim)
+
+    /** Returns the claim of the owner that most hosts use; null if there is none. */
+    internal fun heldClaim(): SlotMessage.OwnerClaim? = choice.heldClaim()
+
+    /** Returns this host's claim to be the slot owner; null unless most hosts are [reporting]. */
+    internal fun updateOwnClaim(reporting: Set<HostId>): SlotMessage.OwnerClaim? {
+        val live = hostRefs().count { it.host in reporting }
+        return choice.updateOwnClaim(isMajorityReporting = live * 2 > count())
     }
 
     /** Returns the hosts that may be serving, this one included. */
@@ -157,21 +137,4 @@
         .filter { it.state != MemberState.LEAVING && it.ref.host != self.host }
 
     private fun isMajority(part: Int, all: Int): Boolean = (part + 1) * 2 > all + 1
-
-    private companion object {
-        // Hosts with at least this share of the highest capacity count as equally suitable.
-        const val CAPACITY_SHARE = 0.6
-
-        // The owner is chosen anew at this interval, since hosts pass the settling time without a
-        // membership change.
-        const val OWNER_LIFETIME_MS = 500L
-
-        // A starting host has its settings after about this time. The time doubles with each
-        // repetition, so that a host that cannot reach the store is tried less and less often.
-        const val UNAVAILABLE_MS = 500L
-        const val MAX_UNAVAILABLE_DOUBLINGS = 4
-        const val UNAVAILABLE_MEMORY_MS = 20_000L
-        val SLOTS = BackendServerId("slots")
-        val ANY_DOMAIN = FailureDomain("")
-    }
 }
--- a/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/slots/SlotClient.kt
+++ b/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/slots/SlotClient.kt
@@ -2,6 +2,8 @@
 
 import arrow.core.Either
 import arrow.core.left
+import arrow.core.right
+import kotlinx.coroutines.delay
 import org.hyssoprack.common.Clock
 import org.hyssoprack.common.EventLog
 import org.hyssoprack.common.Failure
@@ -12,21 +14,26 @@
 import org.hyssoprack.common.ResultCode
 import org.hyssoprack.common.eq
 import org.hyssoprack.gateway.forwarding.ServerPools
+import org.hyssoprack.serving.limits.HostPosition
 import org.hyssoprack.serving.limits.LocalQuota
 import org.hyssoprack.serving.queue.QueuedRequest
 
 /**
- * Acquires slots for this host's requests from the slot owner. While the owner does not respond, or
- * none is known, this host allocates slots by its own server states, within its share of the
- * quotas. A request to the owner is valid for one dispatch: a grant that arrives after its request
- * was abandoned is returned.
+ * Acquires slots for this host's requests from the slot owner. While the owner's reply to a request
+ * is late, this host may allocate a slot for that request itself; while the owner sends nothing at
+ * all, or none is known, it allocates all slots itself, by its own server states and within its
+ * share of the quotas. A request to the owner is valid for one dispatch: a grant that arrives after
+ * its request was abandoned is returned.
  *
  * @param currentOwner the slot owner in this host's member view; null if there is none.
- * @param firstReplyMs time within which an owner must reply to a request in any way, in
- *   milliseconds.
+ * @param firstReplyMs time after which an owner's first reply to a request is late, in milliseconds.
  * @param markUnavailable called with an owner that cannot grant slots now, so that another one is
  *   chosen.
  * @param peers the other hosts that may be serving.
+ * @param markLost called with an owner that sends nothing to several hosts.
+ * @param acceptClaim called with claims of owners.
+ * @param position this host's position among the hosts that may be serving.
+ * @param isTakenOver whether all hosts have reported to this one as the new owner.
  */
 class SlotClient internal constructor(
     private val self: HostRef,
@@ -39,27 +46,48 @@
     private val log: EventLog,
     firstReplyMs: Long = FIRST_REPLY_MS,
     peers: () -> List<HostId> = { emptyList() },
+    markLost: (HostId) -> Unit = {},
+    private val acceptClaim: (SlotMessage.OwnerClaim) -> Unit = {},
+    private val isTakenOver: () -> Boolean = { true },
+    position: () -> HostPosition = { HostPosition(index = 0, count = 1) },
     private val send: (HostId, SlotMessage) -> Unit
 ) {
-    private val contact = OwnerContact(clock, log)
+    private val contact = OwnerContact(self.host, clock, log)
+    private val loss = OwnerLossDetector(contact, peers, clock, log, markLost, send)
     private val numbers = MessageNumbers(self.incarnation)
     private val charges = SlotCharges(quota, send)
     private val running = RunningSlots(self.host, pools, contact, clock, send)
     private val peerReports = PeerReports(self.host, pools.parts, peers, send)
-    private val reports = OwnerReports(pools, quota, running, contact, clock, send)
-    private val requests = SlotRequests(
+    private val reports = OwnerReports(
+        pools = pools,
+        quota = quota,
+        running = running,
+        contact = contact,
+        waitingAt = { requests.waitingAt(it) },
+        numbers = numbers,
+        clock = clock,
+        send = send
+    )
+    private val alone: DecisionsAlone =
+        DecisionsAlone(pools, running, charges, numbers, position, reportSoon = { reports.reset() })
+    private val requests: SlotRequests = SlotRequests(
         self = self.host,
         pools = pools,
         contact = contact,
         messages = RequestMessages(self.host, domain, pools, contact, clock),
         running = running,
         charges = charges,
+        alone = alone,
         numbers = numbers,
         clock = clock,
         firstReplyMs = firstReplyMs,
         send = send
     )
     private var statusMs: Long? = null
+    private var takeoverMs: Long? = null
+
+    /** The slot owner that this host uses; null if none is known. */
+    internal val owner: HostId? get() = contact.owner
 
     /**
      * Waits for a slot, and makes [charge] unless it was made before. Fails with the reason for
@@ -70,10 +98,29 @@
         if (pools.limits.hasNews || pools.parts.registry.hasNews) tick()
         peerReports.send(contact.owner)
         if (contact.owner == null) tick()
-        val owner = contact.responsiveOwner() ?: return acquireLocally(request, charge)
-        return requests.requestFrom(owner, request, charge) ?: acquireLocally(request, charge)
+        while (true) {
+            val owner = contact.responsiveOwner
+            if (owner != null) {
+                requests.requestFrom(owner, request, charge)?.let { return it }
+                alone.tryNow(request, charge)?.let { return it.right() }
+                if (isOver(request)) return undecided().left()
+                if (isReplaced(owner)) continue
+            }
+            if (!contact.isReplyPossible || owner != null) {
+                return alone.acquire(request, charge) ?: usageUnknown().left()
+            }
+            // The owner was lost a moment ago; the next one is known before long.
+            alone.tryNow(request, charge)?.let { return it.right() }
+            if (isOver(request)) return undecided().left()
+            delay(CHECK_MS)
+        }
     }
 
+    private fun isOver(request: QueuedRequest) = clock.nowMs() > request.giveUpMs
+
+    private fun isReplaced(owner: HostId): Boolean =
+        contact.responsiveOwner.let { it != null && it != owner }
+
     /** Refunds the quota of a request that did not run. */
     fun refund(charge: QuotaCharge) = charges.refund(charge)
 
@@ -87,6 +134,8 @@
             SlotMessage.NotReady -> ownerNotReady(from)
             is SlotMessage.ReportRequest -> reports.report(from.host, isFirst = true)
             is SlotMessage.OwnerStatus -> updateStatus(from, message)
+            is SlotMessage.OwnerClaim -> claimed(message)
+            is SlotMessage.OwnerSilence -> loss.receive(from, message)
             else -> log.event("slot-message-stray", "from" eq from, "message" eq message)
         }
     }
@@ -95,11 +144,14 @@
      * Detects a change of the owner and sends reports that are due; called several times a second.
      */
     fun tick() {
+        contact.tick()
+        loss.tick()
         val owner = currentOwner()
         val isNew = owner != contact.owner
         if (isNew) ownerChanged(owner)
         if (owner != null && reports.isDue()) reports.report(owner, isFirst = isNew)
         peerReports.send(owner)
+        if (owner == self.host) endTakeover()
         if (statusMs.let { it != null && clock.nowMs() - it > STATUS_LIFETIME_MS }) {
             statusMs = null
             pools.clearPeerLoads()
@@ -110,13 +162,32 @@
         val before = contact.owner
         contact.change(owner)
         reports.reset()
-        if (owner == self.host) pools.clearPeerLoads()
+        takeoverMs = clock.nowMs().takeIf { owner == self.host }
+        before?.let { requests.abandon(it) }
         pools.limits.ownerChanged()
         pools.parts.registry.ownerChanged()
         before?.let { send(it, SlotMessage.Report(isLast = true)) }
     }
 
+    /**
+     * Clears the loads that the previous owner told of once all hosts have reported theirs. Until
+     * then each report turns its part of them into leases, so that a slot counts once throughout.
+     */
+    private fun endTakeover() {
+        val sinceMs = takeoverMs ?: return
+        if (!isTakenOver() && clock.nowMs() - sinceMs < TAKEOVER_MS) return
+        takeoverMs = null
+        statusMs = null
+        pools.clearPeerLoads()
+    }
+
+    private fun claimed(claim: SlotMessage.OwnerClaim) {
+        acceptClaim(claim)
+        if (currentOwner() != contact.owner) tick()
+    }
+
     private fun updateStatus(from: HostRef, status: SlotMessage.OwnerStatus) {
+        status.claim?.let { claimed(it) }
         if (from.host != contact.owner) return
         quota.updateUsedShares(status.usedShares)
         status.leaving.forEach { pools.markLeaving(it) }
@@ -131,19 +202,8 @@
         if (from.host != contact.owner) return
         log.event("slot-owner-not-ready", "owner" eq from)
         markUnavailable(from.host)
-        requests.abandon(from.host)
         tick()
-    }
-
-    private suspend fun acquireLocally(
-        request: QueuedRequest,
-        charge: QuotaCharge?
-    ): Either<Failure, Slot> {
-        val isChargedHere = charge != null && charge.chargedBy == null
-        if (charge != null && !charges.chargeLocally(charge)) return usageUnknown().left()
-        return pools[request.service].acquire(request)
-            .onLeft { if (charge != null && isChargedHere) refund(charge) }
-            .map { running.add(numbers.next(), request, null, it.load.promptTokens, it) }
+        requests.abandon(from.host)
     }
 
     private fun usageUnknown() = Failure(
@@ -152,13 +212,24 @@
         retryAfterMs = RETRY_MS
     )
 
+    private fun undecided() = Failure(
+        code = ResultCode.DEADLINE_UNREACHABLE,
+        detail = "The slot owner ${contact.owner} did not decide in time; its last message " +
+            "arrived ${contact.silentMs} ms ago.",
+        retryAfterMs = RETRY_MS
+    )
+
     private companion object {
-        // Round trip between two hosts plus the processing time of a busy owner; well below any
-        // target.
+        // Round trip between two hosts plus the processing time of an owner without load; well below
+        // any target.
         const val FIRST_REPLY_MS = 150L
 
         // The time of several reports and status messages, so that the loss of a few is tolerated.
         const val STATUS_LIFETIME_MS = 3_500L
         const val RETRY_MS = 300L
+        const val CHECK_MS = 50L
+
+        // A report of each host, and one more in place of a lost one.
+        const val TAKEOVER_MS = 1_200L
     }
 }
--- a/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/slots/SlotMessage.kt
+++ b/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/slots/SlotMessage.kt
@@ -8,7 +8,9 @@
 import org.hyssoprack.common.BackendServerId
 import org.hyssoprack.common.ClientAccount
 import org.hyssoprack.common.FailureDomain
+import org.hyssoprack.common.HostId
 import org.hyssoprack.common.HostMessage
+import org.hyssoprack.common.HostRef
 import org.hyssoprack.common.PromptPartId
 import org.hyssoprack.common.ServiceId
 import org.hyssoprack.serving.fleet.ServerInstance
@@ -145,6 +147,9 @@
      *   the first report to an owner.
      * @property parts what the receiver may not know of parts of prompts that may crash servers.
      * @property isLast whether the sender uses another owner, or none, from now on.
+     * @property waiting numbers of the requests that wait for the receiver's decision.
+     * @property lastNumber highest number of a request at the time of the report; 0 from a host of an
+     *   older build.
      */
     @Serializable
     @SerialName("st")
@@ -155,7 +160,9 @@
         @SerialName("l") val leaving: Set<ServerInstance> = emptySet(),
         @SerialName("m") val limits: List<ServerLimit> = emptyList(),
         @SerialName("c") val parts: PartReport? = null,
-        @SerialName("z") val isLast: Boolean = false
+        @SerialName("z") val isLast: Boolean = false,
+        @SerialName("w") val waiting: Set<Long> = emptySet(),
+        @SerialName("n") val lastNumber: Long = 0
     ) : SlotMessage
 
     /** Requests a [Report] from a host that has not sent one to this owner. */
@@ -177,6 +184,7 @@
      * @property limits rate limits that the owner keeps.
      * @property parts what the owner knows of parts of prompts that may crash servers; null from an
      *   owner of an older build.
+     * @property claim the owner's claim; null if most hosts do not report to it.
      */
     @Serializable
     @SerialName("sn")
@@ -185,7 +193,40 @@
         @SerialName("o") val loads: Map<BackendServerId, PeerLoad> = emptyMap(),
         @SerialName("l") val leaving: Set<ServerInstance> = emptySet(),
         @SerialName("m") val limits: List<ServerLimit> = emptyList(),
-        @SerialName("c") val parts: List<SuspectPart>? = null
+        @SerialName("c") val parts: List<SuspectPart>? = null,
+        @SerialName("k") val claim: OwnerClaim? = null
+    ) : SlotMessage
+
+    /**
+     * Names the slot owner that most hosts report to. The owner sends it to hosts to which it has
+     * sent nothing else for a short time, and a host passes it on to those that take it for the
+     * owner.
+     *
+     * @property term increases with each change of the owner; 0 from an owner that most hosts do not
+     *   report to.
+     */
+    @Serializable
+    @SerialName("so")
+    data class OwnerClaim(
+        @SerialName("h") val owner: HostRef,
+        @SerialName("t") val term: Long = 0
+    ) : SlotMessage
+
+    /** Asks another host when it last received a message of [owner]. */
+    @Serializable
+    @SerialName("sh")
+    data class OwnerCheck(@SerialName("h") val owner: HostId) : SlotMessage
+
+    /**
+     * Replies to an [OwnerCheck].
+     *
+     * @property silentMs time since the last message of [owner]; null if the sender does not use it.
+     */
+    @Serializable
+    @SerialName("sl")
+    data class OwnerSilence(
+        @SerialName("h") val owner: HostId,
+        @SerialName("t") val silentMs: Long? = null
     ) : SlotMessage
 }
 
@@ -205,5 +246,8 @@
         subclass(SlotMessage.ReportRequest::class)
         subclass(SlotMessage.NotReady::class)
         subclass(SlotMessage.OwnerStatus::class)
+        subclass(SlotMessage.OwnerClaim::class)
+        subclass(SlotMessage.OwnerCheck::class)
+        subclass(SlotMessage.OwnerSilence::class)
     }
 }
--- a/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/slots/SlotOwner.kt
+++ b/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/slots/SlotOwner.kt
@@ -25,6 +25,9 @@
  * @param accounts client accounts with a quota, by name.
  * @param isReady whether this host has fresh settings in force and has loaded the usage of the
  *   quotas.
+ * @param updateClaim returns this host's claim to be the owner, given the hosts that report to it.
+ * @param claimElsewhere returns the claim of another owner that most hosts use and that this host
+ *   hears; requests and reports are answered with it.
  * @param members the hosts that may be serving, this one included.
  */
 class SlotOwner internal constructor(
@@ -36,11 +39,21 @@
     private val isReady: () -> Boolean,
     private val clock: Clock,
     private val log: EventLog,
-    private val send: (HostId, SlotMessage) -> Unit
+    private val updateClaim: (Set<HostId>) -> SlotMessage.OwnerClaim? = { null },
+    private val claimElsewhere: () -> SlotMessage.OwnerClaim? = { null },
+    send: (HostId, SlotMessage) -> Unit
 ) {
+    private val heartbeats =
+        OwnerHeartbeats(self, { members().mapTo(HashSet()) { it.host } }, clock, send)
+
+    // Every message to a host takes the place of a heartbeat.
+    private val send: (HostId, SlotMessage) -> Unit = { to, message ->
+        heartbeats.sent(to)
+        send(to, message)
+    }
     private val charges = OwnerQuotas(quotas, accounts)
     private val leases = LeaseTable(pools, members, clock, log)
-    private val status = OwnerStatusSender(pools, { reportingHosts(FRESH_MS) }, clock, send)
+    private val status = OwnerStatusSender(pools, { reportingHosts(FRESH_MS) }, clock, this.send)
 
     /** Returns the hosts that have reported within [withinMs]. */
     fun reportingHosts(withinMs: Long): Set<HostId> = leases.reportingHosts(withinMs)
@@ -49,6 +62,7 @@
     fun receive(from: HostRef, message: SlotMessage) {
         if (message is SlotMessage.Report && message.isLast) return reportsElsewhere(from, message)
         val isNeeded = message is SlotMessage.Request || message is SlotMessage.Report
+        if (isNeeded) claimElsewhere()?.let { return send(from.host, it) }
         if (isNeeded && !isReady()) return send(from.host, SlotMessage.NotReady)
         when (message) {
             is SlotMessage.Request -> handleRequest(from, message)
@@ -70,6 +84,9 @@
      * if something in it has changed that hosts need at once. Drops expired leases. Called several times a second.
      */
     fun tick() {
+        val reporting = reportingHosts(FRESH_MS)
+        val claim = updateClaim(reporting)
+        heartbeats.tick(reporting, claim)
         if (leases.isEmpty) return
         val usedShares = charges.usedShares()
         if (status.isDue) {
@@ -78,7 +95,7 @@
             pools.forgetOldVersions()
         }
         if (status.isPartChanged) refuseBlocked()
-        status.sendIfDue(usedShares)
+        status.sendIfDue(usedShares, claim)
     }
 
     private fun handleRequest(from: HostRef, request: SlotMessage.Request) {
--- a/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/slots/SlotRequests.kt
+++ b/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/slots/SlotRequests.kt
@@ -14,7 +14,12 @@
 import org.hyssoprack.gateway.forwarding.ServerPools
 import org.hyssoprack.serving.queue.QueuedRequest
 
-/** Requests slots from the slot owner and waits for its decisions. */
+/**
+ * Requests slots from the slot owner and waits for its decisions. A late first reply is no sign of a
+ * lost owner: this host decides alone for that request if it may, and waits on if not.
+ *
+ * @param firstReplyMs time after which the owner's first reply to a request is late, in milliseconds.
+ */
 internal class SlotRequests(
     private val self: HostId,
     private val pools: ServerPools,
@@ -22,6 +27,7 @@
     private val messages: RequestMessages,
     private val running: RunningSlots,
     private val charges: SlotCharges,
+    private val alone: DecisionsAlone,
     private val numbers: MessageNumbers,
     private val clock: Clock,
     private val firstReplyMs: Long,
@@ -29,6 +35,10 @@
 ) {
     private val pending = HashMap<Long, PendingRequest>()
 
+    /** Numbers of the requests that wait for the decision of [owner]. */
+    fun waitingAt(owner: HostId): Set<Long> =
+        pending.filterValues { it.owner == owner }.keys.toSet()
+
     fun queued(message: SlotMessage.Queued) {
         pending[message.number]?.queued()
     }
@@ -64,7 +74,11 @@
             pending[number] = pendingRequest
             try {
                 send(owner, messages.requestOf(owner, number, request, charge, unusable))
-                when (val decision = decisionOf(owner, pendingRequest, request) ?: return null) {
+                val isReplied =
+                    withTimeoutOrNull(firstReplyMs) { pendingRequest.firstReply.await() } != null
+                if (!isReplied) alone.tryNow(request, charge)?.let { return it.right() }
+                val decision = decisionOf(owner, pendingRequest, request) ?: return null
+                when (decision) {
                     is SlotMessage.Refused -> {
                         pendingRequest.isDecisionUsed = true
                         return failureOf(decision).left()
@@ -88,19 +102,16 @@
         return null
     }
 
+    /** Returns the owner's decision, or null if it does not decide in time or is lost. */
     private suspend fun decisionOf(
         owner: HostId,
         pendingRequest: PendingRequest,
         request: QueuedRequest
     ): SlotMessage? {
-        if (withTimeoutOrNull(firstReplyMs) { pendingRequest.firstReply.await() } == null) {
-            contact.silent(owner)
-            return null
-        }
         while (true) {
             withTimeoutOrNull(CHECK_MS) { pendingRequest.decision.await() }?.let { return it }
             val isOver = clock.nowMs() > request.giveUpMs + CHECK_MS
-            if (isOver || contact.owner != owner || contact.isUnresponsive) return null
+            if (isOver || contact.owner != owner || contact.isSilent) return null
         }
     }
 
--- a/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/slots/SlotService.kt
+++ b/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/slots/SlotService.kt
@@ -39,6 +39,10 @@
         clock = clock,
         log = log,
         peers = hosts::nextHosts,
+        markLost = hosts::markLost,
+        acceptClaim = hosts::accept,
+        isTakenOver = ::areAllReporting,
+        position = hosts::position,
         send = ::send
     )
 
@@ -49,9 +53,11 @@
         quotas = quotas,
         accounts = accounts,
         members = hosts::hostRefs,
-        isReady = isReady,
+        isReady = SteadyReadiness(clock, isReady)::isSteady,
         clock = clock,
         log = log,
+        updateClaim = hosts::updateOwnClaim,
+        claimElsewhere = ::claimElsewhere,
         send = ::send
     )
 
@@ -87,9 +93,33 @@
         ownerShare = hosts.shareOf(fresh)
     }
 
+    private fun areAllReporting(): Boolean =
+        owner.reportingHosts(SlotOwner.FRESH_MS).size >= hosts.count()
+
+    /** Returns the claim of another owner; null if this host has not heard of that one recently. */
+    private fun claimElsewhere(): SlotMessage.OwnerClaim? {
+        val claim = hosts.heldClaim()?.takeIf { it.owner != self } ?: return null
+        val silentMs = hosts.silentMs(claim.owner.host) ?: return null
+        return claim.takeIf { silentMs < OwnerContact.LOST_MS }
+    }
+
     /** Handles a message from another host. */
-    fun receive(from: HostRef, message: SlotMessage) =
-        if (message.isForOwner()) owner.receive(from, message) else client.receive(from, message)
+    fun receive(from: HostRef, message: SlotMessage) {
+        hosts.heard(from.host)
+        when {
+            message is SlotMessage.OwnerCheck -> answerCheck(from, message)
+            message.isForOwner() -> owner.receive(from, message)
+            else -> client.receive(from, message)
+        }
+    }
+
+    private fun answerCheck(from: HostRef, check: SlotMessage.OwnerCheck) {
+        val isUsed = client.owner == check.owner
+        val claim = hosts.heldClaim()
+        if (!isUsed && claim != null) return send(from.host, claim)
+        val silentMs = if (isUsed) hosts.silentMs(check.owner) else null
+        send(from.host, SlotMessage.OwnerSilence(check.owner, silentMs))
+    }
 
     private fun send(to: HostId, message: SlotMessage) =
         if (to == self.host) receive(self, message) else link.send(to, message)
@@ -97,10 +127,11 @@
     private fun SlotMessage.isForOwner(): Boolean = when (this) {
         is SlotMessage.Request, is SlotMessage.Cancelled, is SlotMessage.PromptRead,
         is SlotMessage.ServerStalled, is SlotMessage.Ended, is SlotMessage.Refund,
-        is SlotMessage.Report -> true
+        is SlotMessage.Report, is SlotMessage.OwnerCheck -> true
 
         is SlotMessage.Queued, is SlotMessage.Granted, is SlotMessage.Refused,
-        SlotMessage.ReportRequest, SlotMessage.NotReady, is SlotMessage.OwnerStatus -> false
+        SlotMessage.ReportRequest, SlotMessage.NotReady, is SlotMessage.OwnerStatus,
+        is SlotMessage.OwnerClaim, is SlotMessage.OwnerSilence -> false
     }
 
     private companion object {
