Count a slot once, whoever granted it, and keep one whose grant is on its way

Causes: the owner dropped a lease that a report did not list one second after its grant, though the grant took longer than that to reach its host; a slot adopted from a report was added to the load that the former owner's status had already told of.

Change: a report names the requests that wait for the owner and the last number given out, and only a request that it can know of is dropped. An adopted slot moves from the load of the other hosts to the owner's own.

SlotOwnerTest, before: a lease was dropped by a report sent before its request, and a server with one request counted two. After: both pass.

--- a/core/serving/src/main/kotlin/org/hyssoprack/serving/placement/ServerState.kt
+++ b/core/serving/src/main/kotlin/org/hyssoprack/serving/placement/ServerState.kt
@@ -100,6 +100,15 @@
         health.recordRequestSent()
     }
 
+    /**
+     * Moves [work], which another host relays, from the load of the other hosts to that of this one,
+     * so that it counts once.
+     */
+    fun recordAdopted(work: WorkEstimate) {
+        peers = peers.without(PeerLoad(1, work.promptTokens, work.tokens))
+        recordDispatch(work, isRelayedHere = false)
+    }
+
     /** Records that the server has read the prompt of [work]. */
     fun recordPromptRead(work: WorkEstimate) {
         own += PeerLoad(0, -work.promptTokens, 0)
--- a/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/slots/Lease.kt
+++ b/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/slots/Lease.kt
@@ -56,7 +56,7 @@
 
     /** Takes over a request that was granted its slot by another host. */
     fun adopted(state: ServerState, nowMs: Long, isPromptRead: Boolean) {
-        state.recordDispatch(work, isRelayedHere)
+        state.recordAdopted(work)
         granted(state, nowMs)
         isAdopted = true
         if (isPromptRead) recordPromptRead()
--- a/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/slots/LeaseTable.kt
+++ b/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/slots/LeaseTable.kt
@@ -56,13 +56,21 @@
         val client = client(from)
         val running = report.running.associateBy { it.number }
         client.leases.values
-            .filter {
-                it.state != null && it.number !in running && nowMs - it.grantedMs > TRANSIT_MS
-            }
+            .filter { it.number !in running && isOver(it, report, nowMs) }
             .forEach { drop(from, client, it, "not-reported") }
         running.values.filter { it.number !in client.leases }.forEach { adopt(client, it, nowMs) }
     }
 
+    /**
+     * Returns whether a granted request that [report] does not list as running has ended. It has not
+     * while its host waits for the grant, however long that takes to arrive.
+     */
+    private fun isOver(lease: Lease, report: SlotMessage.Report, nowMs: Long): Boolean {
+        if (lease.state == null || nowMs - lease.grantedMs <= TRANSIT_MS) return false
+        val isKnown = report.lastNumber == 0L || lease.number <= report.lastNumber
+        return isKnown && lease.number !in report.waiting
+    }
+
     /** Drops the leases that cannot be in progress any more, and those of hosts that are gone. */
     fun dropExpired() {
         val nowMs = clock.nowMs()
--- a/gateway/forwarding/src/test/kotlin/org/hyssoprack/gateway/forwarding/slots/SlotOwnerTest.kt
+++ b/gateway/forwarding/src/test/kotlin/org/hyssoprack/gateway/forwarding/slots/SlotOwnerTest.kt
@@ -22,6 +22,7 @@
 import org.hyssoprack.serving.limits.QuotaLedger
 import org.hyssoprack.serving.limits.QuotaTolerance
 import org.hyssoprack.serving.limits.RecordedUsage
+import org.hyssoprack.serving.placement.PeerLoad
 import org.hyssoprack.serving.placement.ServerChooser
 import org.hyssoprack.serving.placement.SlotOutcome
 import org.hyssoprack.serving.placement.SlotResult
@@ -36,6 +37,7 @@
     private val b = ref("b")
     private val account = Account(name = ClientAccount("bakery"), ratePerS = 1.0)
     private var isReady = true
+    private var elsewhere: SlotMessage.OwnerClaim? = null
     private var members = setOf(self, a, b)
     private val sent = ArrayList<Pair<HostId, SlotMessage>>()
     private val pools = ServerPools(clock, ServerChooser(FailureDomain("z"), Random(1)))
@@ -49,6 +51,7 @@
         isReady = { isReady },
         clock = clock,
         log = NoOpEventLog,
+        claimElsewhere = { elsewhere },
         send = { to, message -> sent += to to message }
     )
 
@@ -125,6 +128,48 @@
         assertThat(last(b)).isInstanceOf<SlotMessage.Granted>()
     }
 
+    @Example
+    fun `a slot whose grant is late on its way is kept until its host reports without it`() {
+        class Case(val name: String, val report: SlotMessage.Report, val isKept: Boolean)
+        val cases = listOf(
+            Case("sent before the request", SlotMessage.Report(lastNumber = 6), isKept = true),
+            Case(
+                "while the host waits for the grant",
+                SlotMessage.Report(lastNumber = 7, waiting = setOf(7)),
+                isKept = true
+            ),
+            Case("after its end", SlotMessage.Report(lastNumber = 8), isKept = false)
+        )
+        owner.receive(a, request(7))
+        owner.receive(b, request(2))
+        for (case in cases) {
+            clock.advance(1_500)
+            owner.receive(a, case.report)
+            assertThat(grantsOf(b) == 0, case.name).isEqualTo(case.isKept)
+        }
+    }
+
+    @Example
+    fun `a slot that a former owner granted counts once, before and after its host reports it`() {
+        val state = pools[service].state(server)!!
+        pools.setFleetLoads(mapOf(server to PeerLoad(running = 1)))
+        repeat(2) {
+            assertThat(state.load.running).isEqualTo(1)
+            owner.receive(a, SlotMessage.Report(running = listOf(running(7))))
+        }
+        owner.receive(a, SlotMessage.Ended(7, SlotResult(SlotOutcome.SUCCEEDED)))
+        assertThat(state.load.running).isEqualTo(0)
+    }
+
+    @Example
+    fun `a host that hears another owner with a claim answers with the claim and grants nothing`() {
+        elsewhere = SlotMessage.OwnerClaim(b, term = 3)
+        for (message in listOf(request(1), SlotMessage.Report())) {
+            owner.receive(a, message)
+            assertThat(last(a)).isEqualTo(elsewhere)
+        }
+    }
+
     @Example
     fun `quota is charged once, and refunded if no slot was used`() {
         class Case(val name: String, val end: () -> Unit)
