--- a/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/slots/DecisionsAlone.kt
+++ b/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/slots/DecisionsAlone.kt
@@ -27,13 +27,36 @@
 ) {
     /** Allocates a free slot of this host's part at once; null if there is none. */
     fun tryNow(request: QueuedRequest, charge: QuotaCharge?): Slot? {
-        val part = slotPart(pools[request.service].servers, position())
+        val part = part(request)
         val used = running.aloneCounts(request.service)
         val free = part.filter { (server, slots) -> (used[server] ?: 0) < slots }.keys
-        if (free.isEmpty()) return null
+        return allocate(request, charge, free)
+    }
+
+    /**
+     * Allocates a slot of this host's part, or else of any server that is free as far as known. In
+     * total at most twice the part, since the servers of the part may be limited or fail.
+     */
+    fun tryAny(request: QueuedRequest, charge: QuotaCharge?): Slot? {
+        tryNow(request, charge)?.let { return it }
+        val used = running.aloneCounts(request.service).values.sum()
+        if (used >= 2 * part(request).values.sum()) return null
+        val servers = pools[request.service].servers.mapTo(HashSet()) { it.server.id }
+        return allocate(request, charge, servers)
+    }
+
+    private fun part(request: QueuedRequest): Map<BackendServerId, Int> =
+        slotPart(pools[request.service].servers, position())
+
+    private fun allocate(
+        request: QueuedRequest,
+        charge: QuotaCharge?,
+        servers: Set<BackendServerId>
+    ): Slot? {
+        if (servers.isEmpty()) return null
         val isChargedHere = charge != null && charge.chargedBy == null
         if (charge != null && !charges.chargeLocally(charge, isLate = true)) return null
-        val state = pools[request.service].tryAcquire(request, free)
+        val state = pools[request.service].tryAcquire(request, servers)
         if (state == null && charge != null && isChargedHere) charges.refund(charge)
         return state?.let { slot(request, it) }
     }
--- a/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/slots/OwnerChoice.kt
+++ b/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/slots/OwnerChoice.kt
@@ -5,6 +5,7 @@
 import org.hyssoprack.common.FailureDomain
 import org.hyssoprack.common.HostId
 import org.hyssoprack.common.HostRef
+import org.hyssoprack.membership.Member
 import org.hyssoprack.membership.MemberState
 import org.hyssoprack.membership.MemberView
 import org.hyssoprack.membership.Ownership
@@ -124,7 +125,7 @@
 
     private fun highestHash(now: MemberView): HostId? {
         val ready = now.members.values
-            .filter { it.state == MemberState.ALIVE }
+            .filter { it.state == MemberState.ALIVE || isSuspectedOwner(it) }
             .filter { it.ref.host !in unavailable && it.ref.host !in lost }
             .filter { it.ref.host != self.host || wasReady }
         val settled = ready.filter { clock.epochMs() - it.ref.incarnation.value >= settleMs }
@@ -136,6 +137,10 @@
         return ownership.owner(MemberView(strong), SLOTS, ANY_DOMAIN)
     }
 
+    // Suspicion of a host under load passes, and would change the owner twice.
+    private fun isSuspectedOwner(member: Member): Boolean =
+        member.state == MemberState.SUSPECT && member.ref.host == hashed
+
     companion object {
         /** Term of an owner that most hosts do not report to. */
         const val NO_TERM = 0L
--- a/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/slots/PendingRequest.kt
+++ b/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/slots/PendingRequest.kt
@@ -13,6 +13,9 @@
     val firstReply = CompletableDeferred<Unit>()
     val decision = CompletableDeferred<SlotMessage>()
 
+    /** Slot that this host allocated itself, since the first reply was late. */
+    var localSlot: Slot? = null
+
     /** Whether the reply was used; otherwise the request is cancelled at the owner. */
     var isDecisionUsed = false
 
--- a/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/slots/ServingHosts.kt
+++ b/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/slots/ServingHosts.kt
@@ -60,7 +60,8 @@
 
     /** Returns this host's claim to be the slot owner; null unless most hosts are [reporting]. */
     internal fun updateOwnClaim(reporting: Set<HostId>): SlotMessage.OwnerClaim? {
-        val live = hostRefs().count { it.host in reporting }
+        // Most hosts own nothing, and have no reports to count.
+        val live = if (reporting.isEmpty()) 0 else hostRefs().count { it.host in reporting }
         return choice.updateOwnClaim(isMajorityReporting = live * 2 > count())
     }
 
--- a/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/slots/SlotClient.kt
+++ b/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/slots/SlotClient.kt
@@ -106,11 +106,13 @@
                 if (isOver(request)) return undecided().left()
                 if (isReplaced(owner)) continue
             }
-            if (!contact.isReplyPossible || owner != null) {
+            // An owner that still responds has granted nothing that this host can use.
+            val isWithoutOwner = contact.responsiveOwner != null || !contact.isReplyPossible
+            if (isWithoutOwner) {
                 return alone.acquire(request, charge) ?: usageUnknown().left()
             }
             // The owner was lost a moment ago; the next one is known before long.
-            alone.tryNow(request, charge)?.let { return it.right() }
+            alone.tryAny(request, charge)?.let { return it.right() }
             if (isOver(request)) return undecided().left()
             delay(CHECK_MS)
         }
--- a/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/slots/SlotRequests.kt
+++ b/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/slots/SlotRequests.kt
@@ -74,10 +74,8 @@
             pending[number] = pendingRequest
             try {
                 send(owner, messages.requestOf(owner, number, request, charge, unusable))
-                val isReplied =
-                    withTimeoutOrNull(firstReplyMs) { pendingRequest.firstReply.await() } != null
-                if (!isReplied) alone.tryNow(request, charge)?.let { return it.right() }
-                val decision = decisionOf(owner, pendingRequest, request) ?: return null
+                val decision = decisionOf(owner, pendingRequest, request, charge)
+                    ?: return pendingRequest.localSlot?.right()
                 when (decision) {
                     is SlotMessage.Refused -> {
                         pendingRequest.isDecisionUsed = true
@@ -102,13 +100,22 @@
         return null
     }
 
-    /** Returns the owner's decision, or null if it does not decide in time or is lost. */
+    /**
+     * Returns the owner's decision, or null if it does not decide in time, is lost, or this host has
+     * allocated a slot itself.
+     */
     private suspend fun decisionOf(
         owner: HostId,
         pendingRequest: PendingRequest,
-        request: QueuedRequest
+        request: QueuedRequest,
+        charge: QuotaCharge?
     ): SlotMessage? {
+        withTimeoutOrNull(firstReplyMs) { pendingRequest.firstReply.await() }
         while (true) {
+            if (!pendingRequest.firstReply.isCompleted) {
+                pendingRequest.localSlot = alone.tryNow(request, charge)
+                if (pendingRequest.localSlot != null) return null
+            }
             withTimeoutOrNull(CHECK_MS) { pendingRequest.decision.await() }?.let { return it }
             val isOver = clock.nowMs() > request.giveUpMs + CHECK_MS
             if (isOver || contact.owner != owner || contact.isSilent) return null
@@ -148,8 +155,8 @@
 
     private companion object {
         // Interval at which a waiting request checks whether its owner is gone and it has to use
-        // another one.
-        const val CHECK_MS = 200L
+        // another one, and whether this host may decide alone meanwhile.
+        const val CHECK_MS = 100L
 
         // More than one, since the first granted server may be closed to this host only.
         const val MAX_REQUESTS = 2
