Share the capacity of a service between client accounts in the queue

One account with 7.5 times its load reduced the served share of five others from 100% to 58% (SharedQueueTest with the order of age). With fair shares it stays within 2 points. A request for a slot names the caller's account also if no quota is charged. With one account the order is that of the former comparator over 300 drawn cases. SharedQueueTest, FairSharesTest, DispatchQueueTest, OverloadTest, SlotMessageTest, SlotOwnerTest, SlotClientTest pass.

--- a/core/serving/src/main/kotlin/org/hyssoprack/serving/queue/DispatchQueue.kt
+++ b/core/serving/src/main/kotlin/org/hyssoprack/serving/queue/DispatchQueue.kt
@@ -1,15 +1,19 @@
 package org.hyssoprack.serving.queue
 
+import org.hyssoprack.serving.sharing.FairShares
+
 /**
  * Priority queue of the requests of one service that wait for a slot. Requests whose response has
  * been started come first, since their callers lose what they have received. Then come requests that
- * can still be on time, then the more urgent rank, then the older request. In an overload not all can be
- * on time, and a late response is worth only a part of one on time, whatever its rank. One request
- * of each underserved rank goes ahead, so that no rank starves.
+ * can still be on time, then the more urgent rank, then the account that has had less of the slot
+ * time, then the older request. In an overload not all can be on time, and a late response is worth
+ * only a part of one on time, whatever its rank. One request of each underserved rank goes ahead,
+ * so that no rank starves.
  */
 class DispatchQueue {
-    private val waiting = ArrayList<QueuedRequest>()
+    private val waiting = LinkedHashMap<QueuedRequest, WaitingRequest>()
     private val reservations = RankReservations()
+    private val shares = FairShares()
 
     val size: Int get() = waiting.size
 
@@ -18,14 +22,23 @@
         reservations.recordRequest(request.rank, nowMs)
 
     /** Records that [request] was granted a slot, which it is expected to hold for [slotMs]. */
-    fun recordGrant(request: QueuedRequest, slotMs: Double, nowMs: Long) =
+    fun recordGrant(request: QueuedRequest, slotMs: Double, nowMs: Long) {
         reservations.recordGrant(request.rank, slotMs, nowMs)
+        shares.recordGrant(WaitingRequest(request, slotMs), nowMs)
+    }
 
-    fun add(request: QueuedRequest) {
-        waiting += request
+    /** Adds [request], which is expected to hold a slot for [slotMs]. */
+    fun add(request: QueuedRequest, slotMs: Double = DEFAULT_SLOT_MS) {
+        val added = WaitingRequest(request, slotMs)
+        waiting[request] = added
+        shares.recordWaiting(added)
     }
 
-    fun remove(request: QueuedRequest): Boolean = waiting.remove(request)
+    fun remove(request: QueuedRequest): Boolean {
+        val removed = waiting.remove(request) ?: return false
+        shares.recordLeft(removed)
+        return true
+    }
 
     /**
      * Returns the number of waiting requests that would be served before a new one of [rank] that
@@ -33,7 +46,7 @@
      */
     fun ahead(rank: Int, nowMs: Long): Int {
         val isUnderserved = rank in reservations.underservedRanks(nowMs)
-        return waiting.count {
+        return waiting.keys.count {
             it.isStarted ||
                 it.canBeOnTime(nowMs) &&
                 (it.rank == rank || it.rank < rank && !isUnderserved)
@@ -42,9 +55,7 @@
 
     /** Returns the waiting requests in the order in which they should be served. */
     fun ordered(nowMs: Long): List<QueuedRequest> {
-        val byRank = waiting.sortedWith(
-            compareBy({ !it.isStarted }, { !it.canBeOnTime(nowMs) }, { it.rank }, { it.arrivedMs })
-        )
+        val byRank = shared(nowMs)
         val preferred = reservations.underservedRanks(nowMs).mapNotNull { rank ->
             byRank.firstOrNull {
                 it.rank == rank && !it.isStarted && it.canBeOnTime(nowMs)
@@ -55,10 +66,47 @@
         return started + preferred + (others - preferred.toSet())
     }
 
+    /**
+     * Returns the waiting requests by urgency; those that are equally urgent are ordered by the
+     * shares of their accounts.
+     */
+    private fun shared(nowMs: Long): List<QueuedRequest> {
+        val byAge = waiting.values.sortedWith(
+            compareBy(
+                { !it.request.isStarted },
+                { !it.request.canBeOnTime(nowMs) },
+                { it.rank },
+                { it.request.arrivedMs }
+            )
+        )
+        val result = ArrayList<QueuedRequest>(byAge.size)
+        var from = 0
+        while (from < byAge.size) {
+            val first = byAge[from].request
+            var to = from + 1
+            while (to < byAge.size && isAsUrgent(first, byAge[to].request, nowMs)) to++
+            val equals = byAge.subList(from, to)
+            val order = if (first.isStarted) equals else shares.ordered(equals, nowMs)
+            order.mapTo(result) { it.request }
+            from = to
+        }
+        return result
+    }
+
+    private fun isAsUrgent(a: QueuedRequest, b: QueuedRequest, nowMs: Long): Boolean =
+        a.isStarted == b.isStarted &&
+            a.rank == b.rank &&
+            a.canBeOnTime(nowMs) == b.canBeOnTime(nowMs)
+
     /** Removes and returns the requests whose maximum waiting time has passed. */
     fun takeExpired(nowMs: Long): List<QueuedRequest> {
-        val expired = waiting.filter { it.giveUpMs <= nowMs }
-        waiting.removeAll(expired.toSet())
+        val expired = waiting.keys.filter { it.giveUpMs <= nowMs }
+        expired.forEach { remove(it) }
         return expired
     }
+
+    private companion object {
+        // Any equal value for all requests makes the shares count requests.
+        const val DEFAULT_SLOT_MS = 1.0
+    }
 }
--- a/core/serving/src/main/kotlin/org/hyssoprack/serving/queue/QueuedRequest.kt
+++ b/core/serving/src/main/kotlin/org/hyssoprack/serving/queue/QueuedRequest.kt
@@ -1,6 +1,7 @@
 package org.hyssoprack.serving.queue
 
 import org.hyssoprack.common.BackendServerId
+import org.hyssoprack.common.ClientAccount
 import org.hyssoprack.common.FailureDomain
 import org.hyssoprack.common.PromptPartId
 import org.hyssoprack.common.ServiceId
@@ -23,6 +24,7 @@
  * @property isStarted whether a server has begun the stream that answers it.
  * @property suspectParts parts of the request that may crash servers, in order.
  * @property isRelayedHere whether this host sends the request and relays the response.
+ * @property account account of the caller, with which the request shares the capacity.
  */
 class QueuedRequest(
     val service: ServiceId,
@@ -38,7 +40,8 @@
     val domain: FailureDomain? = null,
     val isStarted: Boolean = false,
     val suspectParts: List<PromptPartId> = emptyList(),
-    val isRelayedHere: Boolean = true
+    val isRelayedHere: Boolean = true,
+    val account: ClientAccount? = null
 ) {
     /** Returns whether the response can still be on time. */
     fun canBeOnTime(nowMs: Long): Boolean = onTimeWaitMs(nowMs) > 0
--- a/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/ServerPool.kt
+++ b/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/ServerPool.kt
@@ -97,7 +97,7 @@
             val failure = rejection(request, ResultCode.QUEUE_FULL, queueStatus(request))
             return settle(request, waiter, failure.left())
         }
-        queue.add(request)
+        queue.add(request, typical(nowMs).slotMs(request.work))
         waiting[request] = waiter
         dispatchWaiting()
     }
--- a/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/slots/SlotClient.kt
+++ b/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/slots/SlotClient.kt
@@ -365,7 +365,8 @@
             tried = request.avoid,
             excludedServers = excludedServers(owner, request.service) + unusable,
             isStarted = request.isStarted,
-            suspectParts = request.suspectParts
+            suspectParts = request.suspectParts,
+            caller = request.account
         )
     }
 
--- a/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/slots/SlotMessage.kt
+++ b/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/slots/SlotMessage.kt
@@ -42,6 +42,8 @@
      * @property isStarted whether a server has begun the stream that answers it.
      * @property suspectParts parts of the prompt that other requests may share, in order, and the
      *   request's own part while any part is suspected to crash servers.
+     * @property caller account of the caller, with which the request shares the capacity, whether
+     *   or not a quota is to be charged; null from a host of an older build.
      */
     @Serializable
     @SerialName("sa")
@@ -62,7 +64,8 @@
         @SerialName("x") val tried: Set<BackendServerId> = emptySet(),
         @SerialName("y") val excludedServers: Set<BackendServerId> = emptySet(),
         @SerialName("h") val isStarted: Boolean = false,
-        @SerialName("c") val suspectParts: List<PromptPartId> = emptyList()
+        @SerialName("c") val suspectParts: List<PromptPartId> = emptyList(),
+        @SerialName("k") val caller: ClientAccount? = null
     ) : SlotMessage {
         val work: WorkEstimate get() = WorkEstimate(
             promptTokens = promptTokens,
--- a/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/slots/SlotOwner.kt
+++ b/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/slots/SlotOwner.kt
@@ -335,7 +335,8 @@
             domain = request.domain,
             isStarted = request.isStarted,
             suspectParts = request.suspectParts,
-            isRelayedHere = isRelayedHere
+            isRelayedHere = isRelayedHere,
+            account = request.caller ?: request.account
         )
     }
 
