Assign refused callers the times at which slots become free, and recognise their return

Retry-After was drawn at random, so that returning callers arrived at any time and were refused again among new ones. A caller that returns about then, recognised by account, route and rank, goes before new requests of its account and rank. Without a time in the calendar the delay is that of RetryAfterPolicy, as before.

--- a/core/serving/src/main/kotlin/org/hyssoprack/serving/queue/DispatchQueue.kt
+++ b/core/serving/src/main/kotlin/org/hyssoprack/serving/queue/DispatchQueue.kt
@@ -6,7 +6,7 @@
  * Priority queue of the requests of one service that wait for a slot. Requests whose response has
  * been started come first, since their callers lose what they have received. Then come requests that
  * can still be on time, then the more urgent rank, then the account that has had less of the slot
- * time, then the older request. In an overload not all can be on time, and a late response is worth
+ * time, then callers that return when told to, then the older request. In an overload not all can be on time, and a late response is worth
  * only a part of one on time, whatever its rank. One request of each underserved rank goes ahead,
  * so that no rank starves.
  */
@@ -27,9 +27,17 @@
         shares.recordGrant(WaitingRequest(request, slotMs), nowMs)
     }
 
-    /** Adds [request], which is expected to hold a slot for [slotMs]. */
-    fun add(request: QueuedRequest, slotMs: Double = DEFAULT_SLOT_MS) {
-        val added = WaitingRequest(request, slotMs)
+    /**
+     * Adds [request], which is expected to hold a slot for [slotMs].
+     *
+     * @param isReturning whether its caller was refused before and told to return now.
+     */
+    fun add(
+        request: QueuedRequest,
+        slotMs: Double = DEFAULT_SLOT_MS,
+        isReturning: Boolean = false
+    ) {
+        val added = WaitingRequest(request, slotMs, isReturning)
         waiting[request] = added
         shares.recordWaiting(added)
     }
@@ -76,6 +84,7 @@
                 { !it.request.isStarted },
                 { !it.request.canBeOnTime(nowMs) },
                 { it.rank },
+                { !it.isReturning },
                 { it.request.arrivedMs }
             )
         )
@@ -98,9 +107,13 @@
             a.rank == b.rank &&
             a.canBeOnTime(nowMs) == b.canBeOnTime(nowMs)
 
-    /** Removes and returns the requests whose maximum waiting time has passed. */
+    /**
+     * Removes and returns the requests whose maximum waiting time has passed, in the order in which
+     * they would have been served.
+     */
     fun takeExpired(nowMs: Long): List<QueuedRequest> {
-        val expired = waiting.keys.filter { it.giveUpMs <= nowMs }
+        if (waiting.keys.none { it.giveUpMs <= nowMs }) return emptyList()
+        val expired = ordered(nowMs).filter { it.giveUpMs <= nowMs }
         expired.forEach { remove(it) }
         return expired
     }
--- a/core/serving/src/main/kotlin/org/hyssoprack/serving/queue/QueuedRequest.kt
+++ b/core/serving/src/main/kotlin/org/hyssoprack/serving/queue/QueuedRequest.kt
@@ -4,9 +4,11 @@
 import org.hyssoprack.common.ClientAccount
 import org.hyssoprack.common.FailureDomain
 import org.hyssoprack.common.PromptPartId
+import org.hyssoprack.common.RouteName
 import org.hyssoprack.common.ServiceId
 import org.hyssoprack.serving.placement.PlacementRequest
 import org.hyssoprack.serving.placement.WorkEstimate
+import org.hyssoprack.serving.sharing.ReturnKey
 
 /**
  * A request that waits for a slot.
@@ -25,6 +27,7 @@
  * @property suspectParts parts of the request that may crash servers, in order.
  * @property isRelayedHere whether this host sends the request and relays the response.
  * @property account account of the caller, with which the request shares the capacity.
+ * @property route route of the request; null if unknown.
  */
 class QueuedRequest(
     val service: ServiceId,
@@ -41,8 +44,12 @@
     val isStarted: Boolean = false,
     val suspectParts: List<PromptPartId> = emptyList(),
     val isRelayedHere: Boolean = true,
-    val account: ClientAccount? = null
+    val account: ClientAccount? = null,
+    val route: RouteName? = null
 ) {
+    /** What the request has in common with the same caller's next one after a refusal. */
+    val returnKey: ReturnKey get() = ReturnKey(account = account, route = route, rank = rank)
+
     /** Returns whether the response can still be on time. */
     fun canBeOnTime(nowMs: Long): Boolean = onTimeWaitMs(nowMs) > 0
 
--- a/core/serving/src/main/kotlin/org/hyssoprack/serving/queue/RetryAfterPolicy.kt
+++ b/core/serving/src/main/kotlin/org/hyssoprack/serving/queue/RetryAfterPolicy.kt
@@ -19,17 +19,22 @@
         if (nowMs - lastRejectionMs > CALM_MS) startedMs = nowMs
         lastRejectionMs = nowMs
         val lastedMs = (nowMs - startedMs).toDouble()
-        val maxMs = (leftMs / HONOURED_DIVISOR).coerceAtLeast(MIN_MS)
-        val baseMs = lastedMs.coerceIn(MIN_MS, maxMs)
+        val maxMs = maxMs(leftMs).toDouble()
+        val baseMs = lastedMs.coerceIn(MIN_MS.toDouble(), maxMs)
         return minOf(baseMs * (1 + random.nextDouble()), maxMs).toLong()
     }
 
-    private companion object {
+    companion object {
+        /** Shortest delay, in milliseconds. */
+        const val MIN_MS = 400L
+
         // An overload counts as over after this time without a rejection.
-        const val CALM_MS = 1_000L
-        const val MIN_MS = 400.0
+        private const val CALM_MS = 1_000L
 
         // Callers wait for at most a third of the time that they have left.
-        const val HONOURED_DIVISOR = 3.0
+        private const val HONOURED_DIVISOR = 3
+
+        /** Returns the longest delay that a caller with [leftMs] left honours, in milliseconds. */
+        fun maxMs(leftMs: Long): Long = (leftMs / HONOURED_DIVISOR).coerceAtLeast(MIN_MS)
     }
 }
--- a/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/RequestPlacement.kt
+++ b/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/RequestPlacement.kt
@@ -151,7 +151,8 @@
             avoid = progress.triedServers,
             isStarted = progress.isStarted,
             suspectParts = suspectParts(call, progress),
-            account = call.account?.name
+            account = call.account?.name,
+            route = call.route.name
         )
     }
 
--- a/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/ServerPool.kt
+++ b/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/ServerPool.kt
@@ -21,17 +21,19 @@
 import org.hyssoprack.serving.queue.QueuedRequest
 import org.hyssoprack.serving.queue.RetryAfterPolicy
 import org.hyssoprack.serving.settings.ServiceSpec
+import org.hyssoprack.serving.sharing.ReturnTimes
 
 /** The backend servers of one service and the requests that wait for them. */
 class ServerPool(
     private val clock: Clock,
     private val chooser: ServerChooser,
     private val observer: QueueObserver = NoOpQueueObserver,
-    private val retryAfter: RetryAfterPolicy = RetryAfterPolicy(),
+    retryAfter: RetryAfterPolicy = RetryAfterPolicy(),
     private val limits: ServerLimitRegistry = ServerLimitRegistry(clock, NoOpEventLog)
 ) {
     private val states = LinkedHashMap<BackendServerId, ServerState>()
     private val queue = DispatchQueue()
+    private val returns = ReturnTimes(retryAfter)
     private val waiting = HashMap<QueuedRequest, Waiter>()
     private val granted = SlidingWindowSum(RATE_WINDOW_MS)
     private val requested = SlidingWindowSum(DEMAND_WINDOW_MS)
@@ -91,17 +93,22 @@
         val waiter = Waiter(nowMs, settle)
         queue.recordRequest(request, nowMs)
         requested.add(nowMs, 1.0)
+        val isReturning = isFirstAttempt(request) && returns.redeem(request.returnKey, nowMs)
         rejectionOf(request)?.let { return settle(request, waiter, it.left()) }
         if (queue.size == 0) grant(request)?.let { return settle(request, waiter, it.right()) }
         if (!areAllLimited() && isExpectedToExpire(request)) {
             val failure = rejection(request, ResultCode.QUEUE_FULL, queueStatus(request))
             return settle(request, waiter, failure.left())
         }
-        queue.add(request, typical(nowMs).slotMs(request.work))
+        queue.add(request, typical(nowMs).slotMs(request.work), isReturning)
         waiting[request] = waiter
         dispatchWaiting()
     }
 
+    // The caller of a request that was sent before waits for it, and has not returned.
+    private fun isFirstAttempt(request: QueuedRequest) =
+        !request.isStarted && request.avoid.isEmpty()
+
     /** Describes the queue for a new request of [request]'s rank, for the detail of a rejection. */
     private fun queueStatus(request: QueuedRequest): String {
         val nowMs = clock.nowMs()
@@ -273,9 +280,15 @@
 
     private fun rejection(request: QueuedRequest, code: ResultCode, detail: String): Failure {
         val nowMs = clock.nowMs()
-        val retryAfterMs = retryAfter.retryAfterMs(nowMs, request.endMs - nowMs)
         val limitedMs = if (areAllLimited()) limitedWaitMs(queue.size) else 0
-        return Failure(code, detail, maxOf(retryAfterMs, closedMs(), limitedMs))
+        val retryAfterMs = returns.retryAfterMs(
+            key = request.returnKey,
+            nowMs = nowMs,
+            leftMs = request.endMs - nowMs,
+            waitMs = maxOf(closedMs(), limitedMs),
+            grantsPerMs = granted.total(nowMs) / RATE_WINDOW_MS
+        )
+        return Failure(code, detail, retryAfterMs)
     }
 
     private fun settle(request: QueuedRequest, result: Either<Failure, ServerState>) {
--- a/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/slots/SlotClient.kt
+++ b/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/slots/SlotClient.kt
@@ -366,7 +366,8 @@
             excludedServers = excludedServers(owner, request.service) + unusable,
             isStarted = request.isStarted,
             suspectParts = request.suspectParts,
-            caller = request.account
+            caller = request.account,
+            route = request.route
         )
     }
 
--- a/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/slots/SlotMessage.kt
+++ b/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/slots/SlotMessage.kt
@@ -10,6 +10,7 @@
 import org.hyssoprack.common.FailureDomain
 import org.hyssoprack.common.HostMessage
 import org.hyssoprack.common.PromptPartId
+import org.hyssoprack.common.RouteName
 import org.hyssoprack.common.ServiceId
 import org.hyssoprack.serving.fleet.ServerInstance
 import org.hyssoprack.serving.fleet.ServerLimit
@@ -44,6 +45,7 @@
      *   request's own part while any part is suspected to crash servers.
      * @property caller account of the caller, with which the request shares the capacity, whether
      *   or not a quota is to be charged; null from a host of an older build.
+     * @property route route of the request; null from a host of an older build.
      */
     @Serializable
     @SerialName("sa")
@@ -65,7 +67,8 @@
         @SerialName("y") val excludedServers: Set<BackendServerId> = emptySet(),
         @SerialName("h") val isStarted: Boolean = false,
         @SerialName("c") val suspectParts: List<PromptPartId> = emptyList(),
-        @SerialName("k") val caller: ClientAccount? = null
+        @SerialName("k") val caller: ClientAccount? = null,
+        @SerialName("u") val route: RouteName? = null
     ) : SlotMessage {
         val work: WorkEstimate get() = WorkEstimate(
             promptTokens = promptTokens,
--- a/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/slots/SlotOwner.kt
+++ b/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/slots/SlotOwner.kt
@@ -336,7 +336,8 @@
             isStarted = request.isStarted,
             suspectParts = request.suspectParts,
             isRelayedHere = isRelayedHere,
-            account = request.caller ?: request.account
+            account = request.caller ?: request.account,
+            route = request.route
         )
     }
 
