--- a/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/ServerPool.kt
+++ b/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/ServerPool.kt
@@ -11,6 +11,7 @@
 import org.hyssoprack.common.Failure
 import org.hyssoprack.common.NoOpEventLog
 import org.hyssoprack.common.ResultCode
+import org.hyssoprack.common.ServiceId
 import org.hyssoprack.serving.fleet.RegisteredServer
 import org.hyssoprack.serving.fleet.ServerLimitRegistry
 import org.hyssoprack.serving.limits.SlidingWindowSum
@@ -23,27 +24,36 @@
 import org.hyssoprack.serving.queue.QueuedRequest
 import org.hyssoprack.serving.queue.RetryAfterPolicy
 import org.hyssoprack.serving.settings.ServiceSpec
+import org.hyssoprack.serving.sharing.GrantRate
+import org.hyssoprack.serving.sharing.ReturnTimes
+import org.hyssoprack.serving.sharing.SharingState
+import org.hyssoprack.serving.sharing.StartForecast
 
 /** The backend servers of one service and the requests that wait for them. */
 class ServerPool(
     private val clock: Clock,
     private val chooser: ServerChooser,
     private val observer: QueueObserver = NoOpQueueObserver,
-    private val retryAfter: RetryAfterPolicy = RetryAfterPolicy(),
+    retryAfter: RetryAfterPolicy = RetryAfterPolicy(),
     private val limits: ServerLimitRegistry = ServerLimitRegistry(clock, NoOpEventLog),
     private val memory: MemoryBounds = MemoryBounds(clock, NoOpEventLog)
 ) {
     private val states = LinkedHashMap<BackendServerId, ServerState>()
     private val queue = DispatchQueue()
+    private val returns = ReturnTimes(retryAfter)
     private val waiting = HashMap<QueuedRequest, Waiter>()
     private val outputs = OutputSpread()
-    private val granted = SlidingWindowSum(RATE_WINDOW_MS)
+    private val rate = GrantRate()
     private val requested = SlidingWindowSum(DEMAND_WINDOW_MS)
     private var typical = TypicalSpeed.of(emptyList())
     private var typicalMs = Long.MIN_VALUE / 2
     private var isDispatching = false
 
-    private class Waiter(val sinceMs: Long, val settle: (Either<Failure, ServerState>) -> Unit)
+    private class Waiter(
+        val sinceMs: Long,
+        val isReturning: Boolean,
+        val settle: (Either<Failure, ServerState>) -> Unit
+    )
 
     /** This host's state of each server. */
     val servers: Collection<ServerState> get() = states.values
@@ -108,33 +118,43 @@
      */
     fun request(request: QueuedRequest, settle: (Either<Failure, ServerState>) -> Unit) {
         val nowMs = clock.nowMs()
-        val waiter = Waiter(nowMs, settle)
         queue.recordRequest(request, nowMs)
         requested.add(nowMs, 1.0)
+        val isReturning = request.isFirstAttempt && returns.redeem(request.returnKey, nowMs)
+        val waiter = Waiter(nowMs, isReturning, settle)
         rejectionOf(request)?.let { return settle(request, waiter, it.left()) }
         if (queue.size == 0) grant(request)?.let { return settle(request, waiter, it.right()) }
-        if (!areAllLimited() && isExpectedToExpire(request)) {
-            val failure = rejection(request, ResultCode.QUEUE_FULL, queueStatus(request))
-            return settle(request, waiter, failure.left())
-        }
-        queue.add(request)
+        if (queue.size == 0) rate.recordQueueBegin(nowMs)
+        queue.add(request, typical(nowMs).slotMs(request.work), isReturning)
         waiting[request] = waiter
+        val forecast = forecast(request, nowMs)
+        if (forecast?.isInTime(request.onTimeWaitMs(nowMs), request.giveUpMs - nowMs) == false) {
+            return refuseOnArrival(request, forecast)
+        }
         dispatchWaiting()
     }
 
+    /** Returns the state of sharing the slots of [service], for the next owner. */
+    fun sharing(service: ServiceId): SharingState? {
+        val state = SharingState(service, queue.leads(), returns.expected(clock.nowMs()))
+        return state.takeIf { it.leads.isNotEmpty() || it.expected.isNotEmpty() }
+    }
+
+    /** Continues from the [state] of a previous owner. */
+    fun inherit(state: SharingState) {
+        queue.inherit(state.leads)
+        returns.inherit(state.expected, clock.nowMs())
+    }
+
     /** Describes the queue for a new request of [request]'s rank, for the detail of a rejection. */
     private fun queueStatus(request: QueuedRequest): String {
         val nowMs = clock.nowMs()
-        val ahead = queue.ahead(request.rank, nowMs)
-        val grants = granted.total(nowMs).toInt()
-        val slots = states.values.sumOf { it.server.slots }
-        val used = states.values.sumOf { it.load.running }
-        val open = states.values.count { it.isOpen }
-        val limited = states.values.mapNotNull { it.rateLimit?.perS }
-        return "$ahead of ${queue.size} waiting requests go before it; " +
-            "$grants slots were granted in the last $RATE_WINDOW_MS ms; " +
-            "$used of $slots slots are used, $open of ${states.size} servers are open, " +
-            "${limited.size} accept a limited rate: ${limited.sum()} requests per second."
+        return QueueStatus(
+            ahead = queue.ahead(request.rank, nowMs),
+            waiting = queue.size,
+            grants = rate.count(nowMs),
+            servers = states.values
+        ).toString()
     }
 
     /** Removes a waiting request. */
@@ -226,8 +246,9 @@
             chooser.choose(candidates, request.placement(nowMs), typical(nowMs)) ?: return null
         state.recordDispatch(request.work, request.isRelayedHere)
         state.rateLimit?.take()
-        granted.add(nowMs, 1.0)
-        queue.recordGrant(request, typical(nowMs).slotMs(request.work), nowMs)
+        val slotMs = typical(nowMs).slotMs(request.work)
+        rate.recordGrant(slotMs, nowMs)
+        queue.recordGrant(request, slotMs, nowMs)
         return state
     }
 
@@ -274,17 +295,26 @@
     private fun presentServers() = states.values.filter { !it.server.isLeaving }
 
     /**
-     * Returns whether the request is expected to wait for longer than it may, at the grant rate of
-     * the last second. Those whose response has been started go ahead of the others.
+     * Predicts when a request that has just begun to wait is granted a slot; null if this cannot be
+     * predicted. Those whose response has been started go ahead of the others.
      */
-    private fun isExpectedToExpire(request: QueuedRequest): Boolean {
-        if (request.isStarted) return false
-        val nowMs = clock.nowMs()
-        val perMs = granted.total(nowMs) / RATE_WINDOW_MS
-        if (queue.size < MIN_QUEUE || perMs <= 0) return false
-        val expectedWaitMs = queue.ahead(request.rank, nowMs) / perMs
-        if (expectedWaitMs < request.onTimeWaitMs(nowMs)) return false
-        return nowMs + queue.size / perMs > request.giveUpMs
+    private fun forecast(request: QueuedRequest, nowMs: Long): StartForecast? {
+        if (request.isStarted || queue.size <= MIN_QUEUE || areAllLimited()) return null
+        val slots = presentServers().sumOf { it.server.slots }
+        return queue.forecast(request, rate.usableSlots(slots, nowMs), nowMs)
+    }
+
+    /**
+     * Rejects a request that is expected to expire, unless a slot suits it that no other waiting
+     * request could use when the queue was last dispatched.
+     */
+    private fun refuseOnArrival(request: QueuedRequest, forecast: StartForecast) {
+        val state = if (isDispatching) null else grant(request)
+        queue.remove(request)
+        val detail = "${queueStatus(request)} $forecast"
+        val result =
+            state?.right() ?: rejection(request, ResultCode.QUEUE_FULL, detail).left()
+        settle(request, result)
     }
 
     /**
@@ -300,9 +330,16 @@
 
     private fun rejection(request: QueuedRequest, code: ResultCode, detail: String): Failure {
         val nowMs = clock.nowMs()
-        val retryAfterMs = retryAfter.retryAfterMs(nowMs, request.endMs - nowMs)
         val limitedMs = if (areAllLimited()) limitedWaitMs(queue.size) else 0
-        return Failure(code, detail, maxOf(retryAfterMs, closedMs(), limitedMs))
+        val retryAfterMs = returns.retryAfterMs(
+            key = request.returnKey,
+            nowMs = nowMs,
+            leftMs = request.endMs - nowMs,
+            waitMs = maxOf(closedMs(), limitedMs),
+            // The limits have their own prediction, which is part of the waiting time.
+            grantsPerMs = if (areAllLimited()) 0.0 else rate.perMs(nowMs)
+        )
+        return Failure(code, detail, retryAfterMs)
     }
 
     private fun settle(request: QueuedRequest, result: Either<Failure, ServerState>) {
@@ -316,14 +353,13 @@
     ) {
         val waitedMs = clock.nowMs() - waiter.sinceMs
         result.fold(
-            { observer.refused(request, it.code, waitedMs) },
-            { observer.granted(request, waitedMs) }
+            { observer.refused(request, it.code, waitedMs, waiter.isReturning) },
+            { observer.granted(request, waitedMs, waiter.isReturning) }
         )
         waiter.settle(result)
     }
 
     private companion object {
-        const val RATE_WINDOW_MS = 1_000L
         const val MS_PER_S = 1_000.0
 
         // Contains several requests also at rates below one per second.
--- a/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/ServerPools.kt
+++ b/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/ServerPools.kt
@@ -14,6 +14,7 @@
 import org.hyssoprack.serving.placement.PeerLoad
 import org.hyssoprack.serving.placement.ServerChooser
 import org.hyssoprack.serving.settings.ServiceSpec
+import org.hyssoprack.serving.sharing.SharingState
 
 /**
  * The [ServerPool]s of all services.
@@ -86,6 +87,10 @@
     fun slowCount(): Int =
         pools.values.sumOf { pool -> pool.servers.count { it.pace.current >= SLOW_PACE } }
 
+    /** Returns how the slots of the services are shared, for the next owner. */
+    fun sharing(): List<SharingState> =
+        pools.mapNotNull { (service, pool) -> pool.sharing(service) }
+
     /** Returns the number of requests in all queues. */
     fun queueLength(): Int = pools.values.sumOf { it.queueLength }
 
--- a/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/slots/OwnerReports.kt
+++ b/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/slots/OwnerReports.kt
@@ -14,6 +14,7 @@
     private val contact: OwnerContact,
     private val waitingAt: (HostId) -> Set<Long>,
     private val numbers: MessageNumbers,
+    private val sharing: SharingKeeper,
     private val clock: Clock,
     private val send: (HostId, SlotMessage) -> Unit
 ) {
@@ -35,7 +36,7 @@
 
     /**
      * @param isFirst whether [to] lacks the data of the previous owner, so that the report includes
-     *   the used shares and all rate limits.
+     *   the used shares, all rate limits and how the slots were shared.
      */
     fun report(to: HostId, isFirst: Boolean) {
         if (to == contact.owner) {
@@ -55,7 +56,8 @@
             limits = limits,
             parts = parts,
             waiting = waitingAt(to),
-            lastNumber = numbers.last
+            lastNumber = numbers.last,
+            sharing = if (isFirst) sharing.statesFor(to) else emptyList()
         )
         send(to, report)
     }
--- a/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/slots/OwnerStatusSender.kt
+++ b/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/slots/OwnerStatusSender.kt
@@ -8,6 +8,7 @@
 /** Sends the slot owner's [SlotMessage.OwnerStatus] to the hosts that report to it. */
 internal class OwnerStatusSender(
     private val pools: ServerPools,
+    private val handover: SharingHandover,
     private val reportingHosts: () -> Set<HostId>,
     private val clock: Clock,
     private val send: (HostId, SlotMessage) -> Unit
@@ -50,7 +51,7 @@
             parts = pools.parts.registry.records(),
             claim = claim
         )
-        hosts.forEach { send(it, status) }
+        handover.statuses(status, hosts).forEach { (host, message) -> send(host, message) }
     }
 
     private companion object {
--- a/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/slots/RequestMessages.kt
+++ b/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/slots/RequestMessages.kt
@@ -44,7 +44,9 @@
             tried = request.avoid,
             excludedServers = excludedServers(owner, request.service) + unusable,
             isStarted = request.isStarted,
-            suspectParts = request.suspectParts
+            suspectParts = request.suspectParts,
+            caller = request.account,
+            route = request.route
         )
     }
 
--- a/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/slots/SlotClient.kt
+++ b/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/slots/SlotClient.kt
@@ -58,6 +58,7 @@
     private val charges = SlotCharges(quota, send)
     private val running = RunningSlots(self.host, pools, contact, clock, send)
     private val peerReports = PeerReports(self.host, pools.parts, peers, send)
+    private val sharingKeeper = SharingKeeper(clock)
     private val reports = OwnerReports(
         pools = pools,
         quota = quota,
@@ -65,6 +66,7 @@
         contact = contact,
         waitingAt = { requests.waitingAt(it) },
         numbers = numbers,
+        sharing = sharingKeeper,
         clock = clock,
         send = send
     )
@@ -200,6 +202,7 @@
         status.claim?.let { claimed(it) }
         if (from.host != contact.owner) return
         quota.updateUsedShares(status.usedShares)
+        sharingKeeper.keep(from.host, status.sharing)
         status.leaving.forEach { pools.markLeaving(it) }
         if (from.host == self.host) return
         pools.limits.confirm(status.limits, from.host)
--- a/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/slots/SlotMessage.kt
+++ b/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/slots/SlotMessage.kt
@@ -12,6 +12,7 @@
 import org.hyssoprack.common.HostMessage
 import org.hyssoprack.common.HostRef
 import org.hyssoprack.common.PromptPartId
+import org.hyssoprack.common.RouteName
 import org.hyssoprack.common.ServiceId
 import org.hyssoprack.serving.fleet.ServerInstance
 import org.hyssoprack.serving.fleet.ServerLimit
@@ -20,6 +21,7 @@
 import org.hyssoprack.serving.placement.PeerLoad
 import org.hyssoprack.serving.placement.SlotResult
 import org.hyssoprack.serving.placement.WorkEstimate
+import org.hyssoprack.serving.sharing.SharingState
 
 /**
  * Messages between the hosts that serve callers and the slot owner. Times are in milliseconds from
@@ -44,6 +46,9 @@
      * @property isStarted whether a server has begun the stream that answers it.
      * @property suspectParts parts of the prompt that other requests may share, in order, and the
      *   request's own part while any part is suspected to crash servers.
+     * @property caller account of the caller, with which the request shares the capacity, whether
+     *   or not a quota is to be charged; null from a host of an older build.
+     * @property route route of the request; null from a host of an older build.
      */
     @Serializable
     @SerialName("sa")
@@ -64,7 +69,9 @@
         @SerialName("x") val tried: Set<BackendServerId> = emptySet(),
         @SerialName("y") val excludedServers: Set<BackendServerId> = emptySet(),
         @SerialName("h") val isStarted: Boolean = false,
-        @SerialName("c") val suspectParts: List<PromptPartId> = emptyList()
+        @SerialName("c") val suspectParts: List<PromptPartId> = emptyList(),
+        @SerialName("k") val caller: ClientAccount? = null,
+        @SerialName("u") val route: RouteName? = null
     ) : SlotMessage {
         val work: WorkEstimate get() = WorkEstimate(
             promptTokens = promptTokens,
@@ -153,6 +160,8 @@
      * @property limits rate limits that servers named, as far as the owner may not know them; all in
      *   the first report to an owner.
      * @property parts what the receiver may not know of parts of prompts that may crash servers.
+     * @property sharing how the previous owner shared the slots; only in the first report to an
+     *   owner.
      * @property isLast whether the sender uses another owner, or none, from now on.
      * @property waiting numbers of the requests that wait for the receiver's decision.
      * @property lastNumber highest number of a request at the time of the report; 0 from a host of an
@@ -169,7 +178,8 @@
         @SerialName("c") val parts: PartReport? = null,
         @SerialName("z") val isLast: Boolean = false,
         @SerialName("w") val waiting: Set<Long> = emptySet(),
-        @SerialName("n") val lastNumber: Long = 0
+        @SerialName("n") val lastNumber: Long = 0,
+        @SerialName("h") val sharing: List<SharingState> = emptyList()
     ) : SlotMessage
 
     /** Requests a [Report] from a host that has not sent one to this owner. */
@@ -192,6 +202,7 @@
      * @property parts what the owner knows of parts of prompts that may crash servers; null from an
      *   owner of an older build.
      * @property claim the owner's claim; null if most hosts do not report to it.
+     * @property sharing how the owner shares the slots; sent to a few hosts only.
      */
     @Serializable
     @SerialName("sn")
@@ -201,7 +212,8 @@
         @SerialName("l") val leaving: Set<ServerInstance> = emptySet(),
         @SerialName("m") val limits: List<ServerLimit> = emptyList(),
         @SerialName("c") val parts: List<SuspectPart>? = null,
-        @SerialName("k") val claim: OwnerClaim? = null
+        @SerialName("k") val claim: OwnerClaim? = null,
+        @SerialName("h") val sharing: List<SharingState> = emptyList()
     ) : SlotMessage
 
     /**
--- a/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/slots/SlotOwner.kt
+++ b/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/slots/SlotOwner.kt
@@ -54,7 +54,9 @@
     }
     private val charges = OwnerQuotas(quotas, accounts)
     private val leases = LeaseTable(pools, members, clock, log)
-    private val status = OwnerStatusSender(pools, { reportingHosts(FRESH_MS) }, clock, this.send)
+    private val handover = SharingHandover(pools, clock, log)
+    private val status =
+        OwnerStatusSender(pools, handover, { reportingHosts(FRESH_MS) }, clock, this.send)
 
     /** Returns the hosts that have reported within [withinMs]. */
     fun reportingHosts(withinMs: Long): Set<HostId> = leases.reportingHosts(withinMs)
@@ -82,7 +84,8 @@
 
     /**
      * Sends the [SlotMessage.OwnerStatus] to the hosts that report: at intervals, and immediately
-     * if something in it has changed that hosts need at once. Drops expired leases. Called several times a second.
+     * if something in it has changed that hosts need at once. Drops expired leases. Called several
+     * times a second.
      */
     fun tick() {
         val reporting = reportingHosts(FRESH_MS)
@@ -213,6 +216,7 @@
         report.leaving.forEach { pools.markLeaving(it) }
         report.limits.forEach { pools.limits.recordNamed(it, from.host) }
         charges.accept(from, report)
+        handover.accept(from, report.sharing)
         if (from != self) report.parts?.let { pools.parts.accept(it, from.host) }
         if (report.parts?.crashes.orEmpty().isNotEmpty()) tick()
         leases.reconcile(from, report)
@@ -239,7 +243,9 @@
             domain = request.domain,
             isStarted = request.isStarted,
             suspectParts = request.suspectParts,
-            isRelayedHere = isRelayedHere
+            isRelayedHere = isRelayedHere,
+            account = request.caller ?: request.account,
+            route = request.route
         )
     }
 
--- a/gateway/forwarding/src/test/kotlin/org/hyssoprack/gateway/forwarding/overload/OverloadTest.kt
+++ b/gateway/forwarding/src/test/kotlin/org/hyssoprack/gateway/forwarding/overload/OverloadTest.kt
@@ -105,6 +105,20 @@
         }
     }
 
+    @Example
+    fun `callers that return when told to are refused less often than new ones`() {
+        for (case in overloads) {
+            val outcomes = simulate(case).outcomes
+            for (kind in kinds) {
+                if (outcomes.count(kind.rank, isReturning = true) == 0) continue
+                val others = outcomes.refusedShare(kind.rank, isReturning = false)
+                val returning = outcomes.refusedShare(kind.rank, isReturning = true)
+                assertThat(others * MAX_RETURN_RATIO - returning, "${case.name}, ${kind.name}")
+                    .isGreaterThan(0.0)
+            }
+        }
+    }
+
     private fun simulate(case: Case) =
         LoadSimulation(kinds = kinds, slowness = servers, load = case.load, seed = case.seed)
             .run(SIMULATED_MS)
@@ -118,5 +132,8 @@
 
         // Margin by which the users allow a less urgent class to be served more often.
         const val ALLOWED_LEAD = 0.05
+
+        // Largest share of refusals of returning callers, as a part of that of others.
+        const val MAX_RETURN_RATIO = 0.9
     }
 }
