Roll versions out at the slot owner, with the record and the state in the store

ServerPool asks a VersionGate which servers a request may use; the slot owner records its grants and their results for the comparison of versions. The route travels with SlotMessage.Request and the longest pause with SlotResult, both only while versions of the service are compared.

Deployments without bounds get no gate, and their messages are unchanged.

--- a/core/rollout/src/main/kotlin/org/hyssoprack/rollout/Rollout.kt
+++ b/core/rollout/src/main/kotlin/org/hyssoprack/rollout/Rollout.kt
@@ -24,7 +24,7 @@
     val comparison = VersionComparison(clock, record.counts)
 
     /** State in force: a roll-back applies once it is decided, a success once it is stored. */
-    var state = record.state.takeIf { it == RolloutState.ROLLED_BACK } ?: RolloutState.RUNNING
+    var state = RolloutState.RUNNING
         private set
 
     private var outstanding = 0
--- a/core/rollout/src/main/kotlin/org/hyssoprack/rollout/RolloutRecord.kt
+++ b/core/rollout/src/main/kotlin/org/hyssoprack/rollout/RolloutRecord.kt
@@ -12,7 +12,6 @@
  * @property total requests of the service since the order.
  * @property reserved upper bound of the requests that the new version got.
  * @property counts responses by route.
- * @property state decision of the decider; final as soon as the status row has it too.
  */
 @Serializable
 data class RolloutRecord(
@@ -23,6 +22,5 @@
     val decider: String,
     val total: Long = 0,
     val reserved: Long = 0,
-    val counts: Map<String, ResponseCounts> = emptyMap(),
-    val state: RolloutState = RolloutState.RUNNING
+    val counts: Map<String, ResponseCounts> = emptyMap()
 )
--- a/core/rollout/src/main/kotlin/org/hyssoprack/rollout/VersionComparison.kt
+++ b/core/rollout/src/main/kotlin/org/hyssoprack/rollout/VersionComparison.kt
@@ -1,7 +1,6 @@
 package org.hyssoprack.rollout
 
 import org.hyssoprack.common.Clock
-import org.hyssoprack.common.RouteName
 
 /**
  * Sequential test of a new version against the old one that runs beside it, overall and by route.
@@ -58,7 +57,7 @@
     /** Records a response. */
     fun record(response: VersionResponse) {
         val nowMs = clock.nowMs()
-        routes.getOrPut(keyOf(response.route)) { RouteResponses() }.record(response, nowMs)
+        routes.getOrPut(response.key) { RouteResponses() }.record(response, nowMs)
             ?: return
         if (!response.isNew) return
         newMs.addLast(nowMs)
@@ -89,8 +88,6 @@
     private fun evidence(count: Int, bad: Int, expected: Double): Double =
         if (bad < MIN_BAD) 0.0 else ResponseCounts.evidence(count, bad, expected)
 
-    private fun keyOf(route: RouteName?) = route?.value.orEmpty()
-
     companion object {
         /**
          * Evidence from which a version is bad, as a natural logarithm of a likelihood ratio. A
--- a/core/serving/src/main/kotlin/org/hyssoprack/serving/placement/SlotResult.kt
+++ b/core/serving/src/main/kotlin/org/hyssoprack/serving/placement/SlotResult.kt
@@ -9,6 +9,7 @@
  * @property streamTokens tokens of a complete stream that this server alone generated, in
  *   [streamMs].
  * @property callMs time that a plain call took, in milliseconds.
+ * @property pauseMs longest pause between two events of a stream, in milliseconds.
  * @property isUnlimited whether the server named no rate limit, though it has or had one.
  */
 @Serializable
@@ -17,5 +18,6 @@
     @SerialName("t") val streamTokens: Int? = null,
     @SerialName("s") val streamMs: Long = 0,
     @SerialName("c") val callMs: Long? = null,
-    @SerialName("u") val isUnlimited: Boolean = false
+    @SerialName("u") val isUnlimited: Boolean = false,
+    @SerialName("p") val pauseMs: Long? = null
 )
--- a/core/serving/src/main/kotlin/org/hyssoprack/serving/queue/QueuedRequest.kt
+++ b/core/serving/src/main/kotlin/org/hyssoprack/serving/queue/QueuedRequest.kt
@@ -3,6 +3,7 @@
 import org.hyssoprack.common.BackendServerId
 import org.hyssoprack.common.FailureDomain
 import org.hyssoprack.common.PromptPartId
+import org.hyssoprack.common.RouteName
 import org.hyssoprack.common.ServiceId
 import org.hyssoprack.serving.placement.PlacementRequest
 import org.hyssoprack.serving.placement.WorkEstimate
@@ -22,6 +23,8 @@
  * @property domain failure domain of the host that sends the request; null for this host's.
  * @property isStarted whether a server has begun the stream that answers it.
  * @property suspectParts parts of the request that may crash servers, in order.
+ * @property route route of the request; null if not known.
+ * @property isGrantedByOwner whether this host grants the slot as the slot owner.
  * @property isRelayedHere whether this host sends the request and relays the response.
  */
 class QueuedRequest(
@@ -38,7 +41,9 @@
     val domain: FailureDomain? = null,
     val isStarted: Boolean = false,
     val suspectParts: List<PromptPartId> = emptyList(),
-    val isRelayedHere: Boolean = true
+    val isRelayedHere: Boolean = true,
+    val route: RouteName? = null,
+    val isGrantedByOwner: Boolean = false
 ) {
     /** Returns whether the response can still be on time. */
     fun canBeOnTime(nowMs: Long): Boolean = onTimeWaitMs(nowMs) > 0
--- a/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/RequestPlacement.kt
+++ b/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/RequestPlacement.kt
@@ -150,7 +150,8 @@
             patienceMs = patienceMs,
             avoid = progress.triedServers,
             isStarted = progress.isStarted,
-            suspectParts = suspectParts(call, progress)
+            suspectParts = suspectParts(call, progress),
+            route = call.route.name
         )
     }
 
--- a/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/ServerAttempt.kt
+++ b/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/ServerAttempt.kt
@@ -40,6 +40,7 @@
     private var isUnlimited = false
     private var firstMs = 0L
     private var hasBegun = false
+    private var pauseMs = 0L
 
     /** Time of the first bytes of an incomplete event; null if the last event was complete. */
     private var tricklingSinceMs: Long? = null
@@ -220,6 +221,7 @@
 
     private fun recordProgress() {
         tricklingSinceMs = null
+        if (hasBegun) pauseMs = maxOf(pauseMs, silentMs)
         progressMs = clock.nowMs()
         search.cancel()
     }
@@ -276,7 +278,7 @@
     private fun streamResult(): SlotResult {
         if (!relay.isFromOneServer) return SlotResult(SlotOutcome.SUCCEEDED)
         val ms = clock.nowMs() - firstMs
-        return SlotResult(SlotOutcome.SUCCEEDED, call.work.outputTokens, ms)
+        return SlotResult(SlotOutcome.SUCCEEDED, call.work.outputTokens, ms, pauseMs = pauseMs)
     }
 
     private fun responseResult(end: AttemptResult.Answered): SlotResult {
--- a/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/ServerPool.kt
+++ b/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/ServerPool.kt
@@ -11,6 +11,8 @@
 import org.hyssoprack.common.Failure
 import org.hyssoprack.common.NoOpEventLog
 import org.hyssoprack.common.ResultCode
+import org.hyssoprack.gateway.forwarding.rollout.AllVersions
+import org.hyssoprack.gateway.forwarding.rollout.VersionGate
 import org.hyssoprack.serving.fleet.RegisteredServer
 import org.hyssoprack.serving.fleet.ServerLimitRegistry
 import org.hyssoprack.serving.limits.SlidingWindowSum
@@ -28,7 +30,8 @@
     private val chooser: ServerChooser,
     private val observer: QueueObserver = NoOpQueueObserver,
     private val retryAfter: RetryAfterPolicy = RetryAfterPolicy(),
-    private val limits: ServerLimitRegistry = ServerLimitRegistry(clock, NoOpEventLog)
+    private val limits: ServerLimitRegistry = ServerLimitRegistry(clock, NoOpEventLog),
+    private val versions: VersionGate = AllVersions
 ) {
     private val states = LinkedHashMap<BackendServerId, ServerState>()
     private val queue = DispatchQueue()
@@ -170,15 +173,17 @@
         if (areAllLimited()) ResultCode.SERVERS_LIMITED else ResultCode.DEADLINE_UNREACHABLE
 
     private fun grantWaiting(nowMs: Long) {
-        if (states.values.none { it.isOpen }) return
+        if (!hasOpen()) return
         for (request in queue.ordered(nowMs)) {
             val state = grant(request) ?: continue
             queue.remove(request)
             settle(request, state.right())
-            if (states.values.none { it.isOpen }) return
+            if (!hasOpen()) return
         }
     }
 
+    private fun hasOpen() = versions.allowed(states.values, byOwner = true).any { it.isOpen }
+
     // Releases a slot that was granted just as the caller disconnected.
     @OptIn(ExperimentalCoroutinesApi::class)
     private fun releaseGranted(
@@ -193,10 +198,11 @@
     }
 
     private fun grant(request: QueuedRequest): ServerState? {
+        val allowed = versions.allowed(states.values, request.isGrantedByOwner)
         val candidates = if (request.avoid.isEmpty()) {
-            states.values
+            allowed
         } else {
-            states.values.filter { it.server.id !in request.avoid }.ifEmpty { states.values }
+            allowed.filter { it.server.id !in request.avoid }.ifEmpty { allowed }
         }
         val nowMs = clock.nowMs()
         val state =
--- a/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/ServerPools.kt
+++ b/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/ServerPools.kt
@@ -4,6 +4,8 @@
 import org.hyssoprack.common.Clock
 import org.hyssoprack.common.NoOpEventLog
 import org.hyssoprack.common.ServiceId
+import org.hyssoprack.gateway.forwarding.rollout.AllVersions
+import org.hyssoprack.gateway.forwarding.rollout.VersionGate
 import org.hyssoprack.serving.fleet.LeavingServerRegistry
 import org.hyssoprack.serving.fleet.RegisteredServer
 import org.hyssoprack.serving.fleet.ServerInstance
@@ -19,6 +21,7 @@
  *
  * @property limits request rates that servers accept from all hosts together.
  * @property parts parts of prompts that crash servers.
+ * @property versions versions of servers that may get requests.
  */
 class ServerPools(
     private val clock: Clock,
@@ -26,15 +29,17 @@
     private val observer: QueueObserver = NoOpQueueObserver,
     private val leavingServers: LeavingServerRegistry = LeavingServerRegistry(clock),
     val limits: ServerLimitRegistry = ServerLimitRegistry(clock, NoOpEventLog),
-    val parts: PartGate = PartGate(CrashingPartRegistry(clock, NoOpEventLog))
+    val parts: PartGate = PartGate(CrashingPartRegistry(clock, NoOpEventLog)),
+    val versions: VersionGate = AllVersions
 ) {
     private val pools = HashMap<ServiceId, ServerPool>()
     private var specs: Map<ServiceId, ServiceSpec> = emptyMap()
     private var registered: Collection<RegisteredServer> = emptyList()
 
     /** The pool of [service]; empty if no server is registered for it. */
-    operator fun get(service: ServiceId): ServerPool =
-        pools.getOrPut(service) { ServerPool(clock, chooser, observer, limits = limits) }
+    operator fun get(service: ServiceId): ServerPool = pools.getOrPut(service) {
+        ServerPool(clock, chooser, observer, limits = limits, versions = versions)
+    }
 
     /** Updates the pools to the services of new settings. */
     fun updateServices(services: Map<ServiceId, ServiceSpec>) {
--- /dev/null
+++ b/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/rollout/Rollouts.kt
@@ -0,0 +1,68 @@
+package org.hyssoprack.gateway.forwarding.rollout
+
+import kotlinx.coroutines.CoroutineScope
+import org.hyssoprack.common.Clock
+import org.hyssoprack.common.EventLog
+import org.hyssoprack.common.HostId
+import org.hyssoprack.common.ServiceId
+import org.hyssoprack.rollout.RolloutBounds
+import org.hyssoprack.serving.fleet.RegisteredServer
+import org.hyssoprack.store.TableService
+
+/**
+ * The roll-outs of new versions as one host sees and decides them.
+ *
+ * @param bounds null in a deployment without roll-outs, where all of this has no effect.
+ * @param isDecider whether this host decides the roll-outs of a service now.
+ * @param holdMs time within which an order reaches every host, in milliseconds.
+ */
+class Rollouts(
+    self: HostId,
+    table: TableService,
+    rows: RolloutRows,
+    private val bounds: () -> RolloutBounds?,
+    isDecider: (ServiceId) -> Boolean,
+    holdMs: () -> Long,
+    metrics: RolloutMetrics,
+    clock: Clock,
+    log: EventLog
+) {
+    private val servers = HashMap<ServiceId, Collection<RegisteredServer>>()
+
+    /** What this host knows of orders and states. */
+    val view = RolloutView(rows, clock, log)
+
+    private val decider = RolloutDecider(
+        self = self,
+        store = RolloutStore(table, rows, log),
+        view = view,
+        bounds = bounds,
+        isDecider = isDecider,
+        hasServer = { service, version ->
+            servers[service].orEmpty().any { it.version == version && !it.isLeaving }
+        },
+        clock = clock,
+        log = log,
+        metrics = metrics
+    )
+    private val hostGate = RolloutGate(view, bounds, decider::rolloutOf, clock, holdMs)
+
+    /** Whether this deployment rolls versions out. */
+    val isEnabled: Boolean get() = bounds() != null
+
+    /** Filters the servers that may get requests. */
+    val gate: VersionGate get() = hostGate
+
+    /** Records the registered servers. */
+    fun updateServers(registered: Collection<RegisteredServer>) {
+        servers.clear()
+        servers += registered.groupBy { it.service }
+        hostGate.update(registered)
+    }
+
+    /** Reads all rows again, since the store was restored from an older copy. */
+    fun storeRestored() = decider.storeRestored()
+
+    /** Launches what is due in [scope]; called several times a second. */
+    fun tick(scope: CoroutineScope) = decider.tick(scope)
+}
--- a/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/slots/Lease.kt
+++ b/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/slots/Lease.kt
@@ -2,6 +2,8 @@
 
 import org.hyssoprack.common.ClientAccount
 import org.hyssoprack.common.PromptPartId
+import org.hyssoprack.common.RouteName
+import org.hyssoprack.gateway.forwarding.rollout.GrantSample
 import org.hyssoprack.serving.placement.ServerState
 import org.hyssoprack.serving.placement.WorkEstimate
 import org.hyssoprack.serving.queue.QueuedRequest
@@ -11,6 +13,7 @@
  *
  * @property endMs monotonic time after which the request cannot be in progress.
  * @property suspectParts parts of the request that may crash servers.
+ * @property route route of the request; null if not known.
  * @param isRelayedHere whether this host relays the response.
  */
 internal class Lease(
@@ -20,8 +23,12 @@
     private val isRelayedHere: Boolean,
     val account: ClientAccount? = null,
     val quota: Double = 0.0,
-    val suspectParts: List<PromptPartId> = emptyList()
+    val suspectParts: List<PromptPartId> = emptyList(),
+    val route: RouteName? = null
 ) {
+    /** Collects the result while versions of the service are compared. */
+    var sample: GrantSample? = null
+
     /** Whether the request is a trial of a blocked part. */
     var isTrial = false
 
@@ -40,6 +47,9 @@
     var tokensAhead = 0
         private set
 
+    /** Work with all prompt tokens that the server had to read. */
+    val compared: WorkEstimate get() = work.copy(promptTokens = tokensAhead)
+
     var isPromptRead = false
         private set
 
@@ -72,6 +82,7 @@
 
     /** Releases the slot, which removes its work from the load of the server. */
     fun release() {
+        sample?.recordRelease()
         state?.recordEnd(work, isPromptRead, isRelayedHere)
         state = null
     }
--- a/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/slots/Slot.kt
+++ b/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/slots/Slot.kt
@@ -13,6 +13,7 @@
  * @property isAppliedHere whether changes are applied to [state] directly; false if this host is
  *   the owner, which applies them.
  * @property isTrial whether the owner let the request through as a trial of a blocked part.
+ * @param isCompared whether the owner compares versions of the service, which takes more of a result.
  * @param tokensAhead prompt tokens that the server has to read before the first event.
  * @param notifyOwner sends events of the slot to the slot owner.
  */
@@ -24,6 +25,7 @@
     private val tokensAhead: Int,
     val isAppliedHere: Boolean,
     val isTrial: Boolean = false,
+    private val isCompared: Boolean = false,
     private val notifyOwner: (Slot, SlotMessage) -> Unit
 ) {
     /** Whether the first event has arrived. */
@@ -55,6 +57,7 @@
             state.recordEnd(request.work, isPromptRead)
             state.recordResult(result)
         }
-        notifyOwner(this, SlotMessage.Ended(number, result))
+        val told = if (isCompared) result else result.copy(pauseMs = null)
+        notifyOwner(this, SlotMessage.Ended(number, told))
     }
 }
--- a/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/slots/SlotClient.kt
+++ b/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/slots/SlotClient.kt
@@ -275,6 +275,7 @@
     ): Slot? {
         val state = pools[request.service].state(granted.server) ?: return null
         if (state.server.isLeaving || state.closedMs > 0) return null
+        if (!pools.versions.mayUseGranted(state.server)) return null
         if (!granted.isLimitKept) {
             if (!state.isWithinRateLimit) return null
             state.rateLimit?.take()
@@ -326,6 +327,7 @@
         tokensAhead = tokensAhead,
         isAppliedHere = isAppliedHere,
         isTrial = isTrial,
+        isCompared = pools.versions.isComparing(request.service),
         notifyOwner = ::notifyOwner
     ).also { running[number] = it }
 
@@ -365,7 +367,8 @@
             tried = request.avoid,
             excludedServers = excludedServers(owner, request.service) + unusable,
             isStarted = request.isStarted,
-            suspectParts = request.suspectParts
+            suspectParts = request.suspectParts,
+            route = request.route.takeIf { pools.versions.isComparing(request.service) }
         )
     }
 
--- a/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/slots/SlotMessage.kt
+++ b/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/slots/SlotMessage.kt
@@ -10,6 +10,7 @@
 import org.hyssoprack.common.FailureDomain
 import org.hyssoprack.common.HostMessage
 import org.hyssoprack.common.PromptPartId
+import org.hyssoprack.common.RouteName
 import org.hyssoprack.common.ServiceId
 import org.hyssoprack.serving.fleet.ServerInstance
 import org.hyssoprack.serving.fleet.ServerLimit
@@ -42,6 +43,7 @@
      * @property isStarted whether a server has begun the stream that answers it.
      * @property suspectParts parts of the prompt that other requests may share, in order, and the
      *   request's own part while any part is suspected to crash servers.
+     * @property route the request's route, while versions of the service are compared.
      */
     @Serializable
     @SerialName("sa")
@@ -62,7 +64,8 @@
         @SerialName("x") val tried: Set<BackendServerId> = emptySet(),
         @SerialName("y") val excludedServers: Set<BackendServerId> = emptySet(),
         @SerialName("h") val isStarted: Boolean = false,
-        @SerialName("c") val suspectParts: List<PromptPartId> = emptyList()
+        @SerialName("c") val suspectParts: List<PromptPartId> = emptyList(),
+        @SerialName("v") val route: RouteName? = null
     ) : SlotMessage {
         val work: WorkEstimate get() = WorkEstimate(
             promptTokens = promptTokens,
--- a/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/slots/SlotOwner.kt
+++ b/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/slots/SlotOwner.kt
@@ -136,7 +136,8 @@
             isRelayedHere = from == self,
             account = request.account,
             quota = request.quota,
-            suspectParts = request.suspectParts
+            suspectParts = request.suspectParts,
+            route = request.route
         )
         client.leases[request.number] = lease
         val queued = requestOf(request, isRelayedHere = from == self)
@@ -187,6 +188,8 @@
             },
             {
                 lease.granted(it, clock.nowMs())
+                lease.sample =
+                    pools.versions.recordGrant(it.server, lease.route, lease.compared)
                 lease.isTrial = pools.parts.admitToSlot(it.server.service, lease.suspectParts)
                     .getOrElse { failure -> return takeBack(from, lease, failure) }
                 send(
@@ -237,12 +240,14 @@
         lease.state?.server?.let {
             pools.parts.registry.recordBegun(it.service, it.version, lease.suspectParts)
         }
+        lease.sample?.recordFirstEvent(message.firstMs)
         lease.state?.speed?.recordPrompt(tokens = lease.tokensAhead, firstMs = message.firstMs)
     }
 
     private fun ended(from: HostRef, message: SlotMessage.Ended) {
         val lease = clients[from]?.leases?.remove(message.number) ?: return
         lease.state?.recordResult(message.result)
+        lease.sample?.recordResult(message.result)
         if (message.result.isUnlimited) limitEnded(from, lease)
         free(lease)
     }
@@ -335,7 +340,8 @@
             domain = request.domain,
             isStarted = request.isStarted,
             suspectParts = request.suspectParts,
-            isRelayedHere = isRelayedHere
+            isRelayedHere = isRelayedHere,
+            isGrantedByOwner = true
         )
     }
 
