--- a/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/rollout/RolloutDecider.kt
+++ b/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/rollout/RolloutDecider.kt
@@ -26,7 +26,7 @@
     private val self: HostId,
     private val store: RolloutStore,
     private val view: RolloutView,
-    private val bounds: () -> RolloutBounds?,
+    private val bounds: RolloutBounds?,
     private val isDecider: (ServiceId) -> Boolean,
     private val hasServer: (ServiceId, String) -> Boolean,
     private val clock: Clock,
@@ -46,7 +46,7 @@
 
     /** Launches the steps that are due in [scope]; called several times a second. */
     fun tick(scope: CoroutineScope) {
-        if (bounds() == null) return
+        if (bounds == null) return
         for ((service, seen) in view.ordered) {
             if (!isDecider(service)) {
                 decided.remove(service)
@@ -69,7 +69,7 @@
         val known = decided[service]?.takeIf { it.seen == seen }
         if (known == null) {
             decided.remove(service)
-            val taken = takeUp.takeUp(service, seen, bounds() ?: return)
+            val taken = takeUp.takeUp(service, seen, bounds ?: return)
                 ?: return pause(service, RETRY_MS)
             decided[service] = taken
             return publish(service, taken)
--- a/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/rollout/RolloutGate.kt
+++ b/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/rollout/RolloutGate.kt
@@ -21,7 +21,7 @@
  */
 internal class RolloutGate(
     private val view: RolloutView,
-    private val bounds: () -> RolloutBounds?,
+    private val bounds: RolloutBounds?,
     private val decidedHere: (ServiceId) -> Rollout?,
     private val clock: Clock,
     holdMs: () -> Long
@@ -33,17 +33,17 @@
 
     /** Whether this host's information on roll-outs is recent enough to use a new version. */
     val isFresh: Boolean
-        get() = bounds().let { it != null && view.ageMs <= it.rollbackMs * FRESH_PERCENT / 100 }
+        get() = bounds.let { it != null && view.ageMs <= it.rollbackMs * FRESH_PERCENT / 100 }
 
     override fun isComparing(service: ServiceId): Boolean =
-        bounds() != null && view.statusOf(service)?.state == RolloutState.RUNNING
+        bounds != null && view.statusOf(service)?.state == RolloutState.RUNNING
 
     override fun allowed(
         servers: Collection<ServerState>,
         byOwner: Boolean
     ): Collection<ServerState> {
         val service = servers.firstOrNull()?.server?.service ?: return servers
-        if (bounds() == null) return servers
+        if (bounds == null) return servers
         val status = view.statusOf(service) ?: return servers.filter { !held.isHeld(it.server) }
         val decided = decidedHere(service)
         // After a start, whether the new version has been accepted is not known until it is read.
@@ -55,7 +55,7 @@
     }
 
     override fun mayUseGranted(server: RegisteredServer): Boolean {
-        if (bounds() == null) return true
+        if (bounds == null) return true
         val status = view.statusOf(server.service) ?: return true
         return when (status.state) {
             RolloutState.RUNNING -> server.version != status.to || isFresh
@@ -70,7 +70,7 @@
         work: WorkEstimate
     ): GrantSample? {
         val rollout = decidedHere(server.service) ?: return null
-        if (bounds() == null || rollout.state.isFinal) return null
+        if (bounds == null || rollout.state.isFinal) return null
         val isNew = server.version == rollout.order.to
         rollout.recordGrant(isNew)
         return GrantSample(rollout, isNew, route, work, clock)
--- a/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/rollout/Rollouts.kt
+++ b/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/rollout/Rollouts.kt
@@ -5,6 +5,8 @@
 import org.hyssoprack.common.EventLog
 import org.hyssoprack.common.HostId
 import org.hyssoprack.common.ServiceId
+import org.hyssoprack.gateway.forwarding.CombinedSink
+import org.hyssoprack.gateway.forwarding.FeedSink
 import org.hyssoprack.rollout.RolloutBounds
 import org.hyssoprack.serving.fleet.RegisteredServer
 import org.hyssoprack.store.TableService
@@ -20,7 +22,7 @@
     self: HostId,
     table: TableService,
     rows: RolloutRows,
-    private val bounds: () -> RolloutBounds?,
+    private val bounds: RolloutBounds?,
     isDecider: (ServiceId) -> Boolean,
     holdMs: () -> Long,
     metrics: RolloutMetrics,
@@ -48,10 +50,14 @@
     private val hostGate = RolloutGate(view, bounds, decider::rolloutOf, clock, holdMs)
 
     /** Whether this deployment rolls versions out. */
-    val isEnabled: Boolean get() = bounds() != null
+    val isEnabled: Boolean get() = bounds != null
 
     /** Filters the servers that may get requests. */
-    val gate: VersionGate get() = hostGate
+    val gate: VersionGate = if (bounds == null) AllVersions else hostGate
+
+    /** Returns [sink] with the orders added that its table has beside its own rows. */
+    fun withOrders(sink: FeedSink): FeedSink =
+        if (isEnabled) CombinedSink(sink, view.orderSink) else sink
 
     /** Records the registered servers. */
     fun updateServers(registered: Collection<RegisteredServer>) {
--- a/gateway/forwarding/src/test/kotlin/org/hyssoprack/gateway/forwarding/rollout/RolloutFleet.kt
+++ b/gateway/forwarding/src/test/kotlin/org/hyssoprack/gateway/forwarding/rollout/RolloutFleet.kt
@@ -57,7 +57,7 @@
             self = HostId(name),
             table = table,
             rows = PlainRows,
-            bounds = { BOUNDS },
+            bounds = BOUNDS,
             isDecider = { isDecider },
             holdMs = { 3_000 },
             metrics = RolloutMetrics(SimpleMeterRegistry()),
--- a/gateway/forwarding/src/test/kotlin/org/hyssoprack/gateway/forwarding/rollout/RolloutGateTest.kt
+++ b/gateway/forwarding/src/test/kotlin/org/hyssoprack/gateway/forwarding/rollout/RolloutGateTest.kt
@@ -23,7 +23,7 @@
     /** One host that decides nothing; [read] brings rows of the tables "op" and "status". */
     private inner class Host(bounds: RolloutBounds? = RolloutBounds(0.1, 50.0)) {
         private val view = RolloutView(PlainRows, clock, NoOpEventLog)
-        private val gate = RolloutGate(view, { bounds }, { null }, clock) { HOLD_MS }
+        private val gate = RolloutGate(view, bounds, { null }, clock) { HOLD_MS }
 
         fun servers(vararg versions: String) =
             gate.update(servers.filter { it.version in versions })
