--- a/core/serving/src/main/kotlin/org/hyssoprack/serving/placement/SlotResult.kt
+++ b/core/serving/src/main/kotlin/org/hyssoprack/serving/placement/SlotResult.kt
@@ -9,6 +9,7 @@
  * @property streamTokens tokens of a complete stream that this server alone generated, in
  *   [streamMs].
  * @property callMs time that a plain call took, in milliseconds.
+ * @property pauseMs longest pause between two events of a stream, in milliseconds.
  * @property isUnlimited whether the server named no rate limit, though it has or had one.
  * @property streamEvents number of events of the stream of [streamTokens], whose number of tokens
  *   is an estimate.
@@ -24,5 +25,6 @@
     @SerialName("u") val isUnlimited: Boolean = false,
     @SerialName("v") val streamEvents: Int? = null,
     @SerialName("l") val isConnectionLost: Boolean = false,
-    @SerialName("p") val pacePercent: Int? = null
+    @SerialName("p") val pacePercent: Int? = null,
+    @SerialName("w") val pauseMs: Long? = null
 )
--- a/core/serving/src/main/kotlin/org/hyssoprack/serving/queue/QueuedRequest.kt
+++ b/core/serving/src/main/kotlin/org/hyssoprack/serving/queue/QueuedRequest.kt
@@ -25,6 +25,7 @@
  * @property domain failure domain of the host that sends the request; null for this host's.
  * @property isStarted whether a server has begun the stream that answers it.
  * @property suspectParts parts of the request that may crash servers, in order.
+ * @property isGrantedByOwner whether this host grants the slot as the slot owner.
  * @property isRelayedHere whether this host sends the request and relays the response.
  * @property account account of the caller, with which the request shares the capacity.
  * @property route route of the request; null if unknown.
@@ -45,7 +46,8 @@
     val suspectParts: List<PromptPartId> = emptyList(),
     val isRelayedHere: Boolean = true,
     val account: ClientAccount? = null,
-    val route: RouteName? = null
+    val route: RouteName? = null,
+    val isGrantedByOwner: Boolean = false
 ) {
     /** What the request has in common with the same caller's next one after a refusal. */
     val returnKey: ReturnKey get() = ReturnKey(account = account, route = route, rank = rank)
--- a/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/ServerAttempt.kt
+++ b/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/ServerAttempt.kt
@@ -44,6 +44,7 @@
     private var newPaceMs = 0L
     private var firstMs = 0L
     private var hasBegun = false
+    private var pauseMs = 0L
 
     /** Time of the first bytes of an incomplete event; null if the last event was complete. */
     private var tricklingSinceMs: Long? = null
@@ -238,6 +239,7 @@
 
     private fun recordProgress() {
         tricklingSinceMs = null
+        if (hasBegun) pauseMs = maxOf(pauseMs, silentMs)
         progressMs = clock.nowMs()
         search.cancel()
     }
@@ -301,7 +303,8 @@
             outcome = SlotOutcome.SUCCEEDED,
             streamTokens = call.work.outputTokens,
             streamMs = ms,
-            streamEvents = relay.eventCount
+            streamEvents = relay.eventCount,
+            pauseMs = pauseMs
         )
     }
 
--- a/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/ServerPools.kt
+++ b/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/ServerPools.kt
@@ -4,6 +4,8 @@
 import org.hyssoprack.common.Clock
 import org.hyssoprack.common.NoOpEventLog
 import org.hyssoprack.common.ServiceId
+import org.hyssoprack.gateway.forwarding.rollout.AllVersions
+import org.hyssoprack.gateway.forwarding.rollout.VersionGate
 import org.hyssoprack.serving.fleet.LeavingServerRegistry
 import org.hyssoprack.serving.fleet.RegisteredServer
 import org.hyssoprack.serving.fleet.ServerInstance
@@ -22,6 +24,7 @@
  * @property limits request rates that servers accept from all hosts together.
  * @property parts parts of prompts that crash servers.
  * @property memory shares of the servers' memory that may be planned.
+ * @property versions versions of servers that may get requests.
  */
 class ServerPools(
     private val clock: Clock,
@@ -30,7 +33,8 @@
     private val leavingServers: LeavingServerRegistry = LeavingServerRegistry(clock),
     val limits: ServerLimitRegistry = ServerLimitRegistry(clock, NoOpEventLog),
     val parts: PartGate = PartGate(CrashingPartRegistry(clock, NoOpEventLog)),
-    val memory: MemoryBounds = MemoryBounds(clock, NoOpEventLog)
+    val memory: MemoryBounds = MemoryBounds(clock, NoOpEventLog),
+    val versions: VersionGate = AllVersions
 ) {
     private val pools = HashMap<ServiceId, ServerPool>()
     private var specs: Map<ServiceId, ServiceSpec> = emptyMap()
@@ -39,7 +43,14 @@
     /** The pool of [service]; empty if no server is registered for it. */
     operator fun get(service: ServiceId): ServerPool = pools.getOrPut(service) { newPool() }
 
-    private fun newPool() = ServerPool(clock, chooser, observer, limits = limits, memory = memory)
+    private fun newPool() = ServerPool(
+        clock = clock,
+        chooser = chooser,
+        observer = observer,
+        limits = limits,
+        memory = memory,
+        versions = versions
+    )
 
     /** Updates the pools to the services of new settings. */
     fun updateServices(services: Map<ServiceId, ServiceSpec>) {
--- a/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/slots/RunningSlots.kt
+++ b/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/slots/RunningSlots.kt
@@ -34,6 +34,7 @@
         tokensAhead = tokensAhead,
         isAppliedHere = owner != self,
         isTrial = isTrial,
+        isCompared = pools.versions.isComparing(request.service),
         notifyOwner = ::notifyOwner
     ).also { running[number] = it }
 
--- a/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/slots/SlotOwner.kt
+++ b/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/slots/SlotOwner.kt
@@ -116,7 +116,8 @@
             isRelayedHere = from == self,
             account = request.account,
             quota = request.quota,
-            suspectParts = request.suspectParts
+            suspectParts = request.suspectParts,
+            route = request.route
         )
         client.leases[request.number] = lease
         val queued = requestOf(request, isRelayedHere = from == self)
@@ -140,6 +141,8 @@
             },
             {
                 lease.granted(it, clock.nowMs())
+                lease.sample =
+                    pools.versions.recordGrant(it.server, lease.route, lease.compared)
                 lease.isTrial = pools.parts.admitToSlot(it.server.service, lease.suspectParts)
                     .getOrElse { failure -> return takeBack(from, lease, failure) }
                 send(
@@ -188,6 +191,7 @@
             pools.parts.registry.recordBegun(it.service, it.version, lease.suspectParts)
         }
         recordPace(from, lease, message.pacePercent)
+        lease.sample?.recordFirstEvent(message.firstMs)
         lease.state?.recordFirstEvent(tokens = lease.tokensAhead, firstMs = message.firstMs)
     }
 
@@ -195,6 +199,7 @@
         val lease = leases.remove(from, message.number) ?: return
         recordPace(from, lease, message.result.pacePercent)
         lease.state?.recordResult(message.result)
+        lease.sample?.recordResult(message.result)
         if (message.result.isUnlimited) limitEnded(from, lease)
         leases.free(lease)
     }
@@ -245,7 +250,8 @@
             suspectParts = request.suspectParts,
             isRelayedHere = isRelayedHere,
             account = request.caller ?: request.account,
-            route = request.route
+            route = request.route,
+            isGrantedByOwner = true
         )
     }
 
--- a/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/slots/SlotRequests.kt
+++ b/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/slots/SlotRequests.kt
@@ -131,6 +131,7 @@
     ): Slot? {
         val state = pools[request.service].state(granted.server) ?: return null
         if (state.server.isLeaving || state.closedMs > 0) return null
+        if (!pools.versions.mayUseGranted(state.server)) return null
         if (!granted.isLimitKept) {
             if (!state.isWithinRateLimit) return null
             state.rateLimit?.take()
