Bound the bytes, lines and connections that a host holds for callers

Crowds of legal requests exhausted a host's heap or descriptors. One ByteBudget per host now counts heads by bytes and lines, bodies, pipelined requests, responses and buffered parts; large readers stop first, then the largest and oldest incomplete requests are refused with 2015. Bodies grow to their declared length without a second copy, and reach direct memory in pieces of 64 KiB.

Measured: HostileCallersTest 4 of 5 pass (heads, trailers, bodies, connections); long responses at 32 MB still end the process.

--- a/core/common/src/main/kotlin/org/hyssoprack/common/ResultCode.kt
+++ b/core/common/src/main/kotlin/org/hyssoprack/common/ResultCode.kt
@@ -43,6 +43,7 @@
         "A part of the prompt crashes backend servers."
     ),
     REQUEST_BLOCKED(2014, Outcome.NOT_RUN, 503, "The same request crashed backend servers before."),
+    MEMORY_SHORT(2015, Outcome.NOT_RUN, 503, "The host holds too much for its callers."),
 
     STREAM_BROKEN(3000, Outcome.UNKNOWN, 502, "The answer ended early and could not be resumed."),
     STREAM_SILENT(3001, Outcome.UNKNOWN, 504, "The backend server sent no data in time."),
@@ -66,6 +67,7 @@
     PATH_UNKNOWN(4010, Outcome.NOT_RUN, 404, "The path does not exist."),
     HEADERS_TOO_LARGE(4012, Outcome.NOT_RUN, 431, "The request line or headers exceed the limit."),
     REQUEST_MALFORMED(4013, Outcome.NOT_RUN, 400, "The request is not valid HTTP/1.1."),
+    TOO_MANY_LINES(4014, Outcome.NOT_RUN, 431, "The request has too many header or trailer lines."),
     KEY_REUSED(4011, Outcome.NOT_RUN, 422, "The idempotency key was used for another body."),
 
     SETTINGS_INVALID(5000, Outcome.NOT_RUN, 422, "A settings file or bundle has faults."),
--- a/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/ResponseReader.kt
+++ b/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/ResponseReader.kt
@@ -5,9 +5,10 @@
 import arrow.core.left
 import arrow.core.right
 import io.netty.handler.codec.http.HttpResponse
-import java.io.ByteArrayOutputStream
+import io.netty.handler.codec.http.HttpUtil
 import kotlinx.coroutines.withTimeoutOrNull
 import org.hyssoprack.common.Clock
+import org.hyssoprack.gateway.BodyBuffer
 import org.hyssoprack.gateway.ResponsePart
 import org.hyssoprack.gateway.ServerConnection
 
@@ -62,13 +63,20 @@
     }
 
     /** Returns the complete body; calls [onBytes] for each part of it. */
-    suspend fun body(onBytes: () -> Unit): Either<AttemptResult, ByteArray> {
-        val body = ByteArrayOutputStream()
+    suspend fun body(head: HttpResponse, onBytes: () -> Unit): Either<AttemptResult, ByteArray> {
+        val declared = HttpUtil.getContentLength(head, -1L).takeIf { it in 0..MAX_RESPONSE_BYTES }
+        val body = BodyBuffer(declared?.toInt(), MAX_RESPONSE_BYTES)
+        var held = 0
         while (true) {
             when (val part = next().getOrElse { return it.left() }) {
                 is ResponsePart.Body -> {
-                    if (body.size() + part.bytes.size > MAX_RESPONSE_BYTES) return tooLarge().left()
-                    body.write(part.bytes)
+                    val capacity = body.capacityFor(part.bytes.size) ?: return tooLarge().left()
+                    if (capacity > HOLD_FROM_BYTES && capacity > held) {
+                        val most = maxOf(capacity, declared?.toInt() ?: 0)
+                        connection.hold(most - held)
+                        held = most
+                    }
+                    body.add(part.bytes)
                     onBytes()
                 }
 
@@ -126,6 +134,9 @@
     private fun tooLarge() = AttemptResult.Broken("response exceeds $MAX_RESPONSE_BYTES bytes")
 
     private companion object {
+        // Smaller bodies are held without asking for room.
+        const val HOLD_FROM_BYTES = 65_536
+
         // Twice the longest pause between events that counts as on time, and half the time for
         // which callers wait for an event.
         const val NO_DATA_MS = 1_000L
--- a/gateway/netty/src/main/kotlin/org/hyssoprack/gateway/netty/CallerConnection.kt
+++ b/gateway/netty/src/main/kotlin/org/hyssoprack/gateway/netty/CallerConnection.kt
@@ -1,9 +1,10 @@
 package org.hyssoprack.gateway.netty
 
-import io.netty.channel.ChannelFutureListener
+import io.netty.buffer.ByteBuf
+import io.netty.channel.Channel
 import io.netty.channel.ChannelHandlerContext
 import io.netty.channel.ChannelInboundHandlerAdapter
-import io.netty.handler.codec.TooLongFrameException
+import io.netty.channel.socket.SocketChannel
 import io.netty.handler.codec.http.DefaultFullHttpResponse
 import io.netty.handler.codec.http.HttpContent
 import io.netty.handler.codec.http.HttpHeaderNames
@@ -34,11 +35,18 @@
     private val handler: RequestHandler,
     private val errorResponses: ErrorResponses,
     private val limits: CallerLimits,
+    private val budget: ByteBudget,
     private val isDraining: () -> Boolean,
     private val onClosed: (CallerConnection) -> Unit,
     private val clock: Clock
-) : ChannelInboundHandlerAdapter() {
-    private val pipelined = ArrayDeque<CallerRequest>()
+) : ChannelInboundHandlerAdapter(),
+    HoldingOwner {
+    private val headCheck = HeadCheck(limits, budget.limits())
+    private val holding = budget.open(this)
+    private val pipelined = ArrayDeque<HeldRequest>()
+    private var current: HeldRequest? = null
+    private var undecodedBytes = 0L
+    private var responseBytes = 0L
     private var context: ChannelHandlerContext? = null
     private var assembly: RequestAggregator? = null
     private var serving: Job? = null
@@ -51,15 +59,54 @@
     val isIdle: Boolean
         get() = serving == null && assembly == null && !isReadingHead
 
+    /** Time since which the connection is idle, or reads a request. */
+    var sinceMs = clock.nowMs()
+        private set
+
+    /** Whether a request has been read in part. */
+    val isIncomplete: Boolean get() = holding.incompleteSinceMs != null
+
     fun close() {
         context?.close()
     }
 
-    /** Starts the header timeout if the received bytes are the first of a request. */
-    fun onBytesReceived() {
-        if (!isIdle) return
+    /** Counts received bytes before they are decoded; returns whether they are to be decoded. */
+    fun onBytesReceived(bytes: ByteBuf): Boolean {
+        if (isRefused) return false
+        if (isIdle) beginHead()
+        if (assembly == null) {
+            val mostBytes = HeadCost.most(limits.maxHeaderBytes, budget.limits().maxHeaderLines)
+            undecodedBytes = minOf(mostBytes, undecodedBytes + HeadCost.of(bytes))
+            if (holding.incompleteSinceMs == null) holding.incompleteSinceMs = clock.nowMs()
+            updateHeld()
+        }
+        return !isRefused
+    }
+
+    private fun beginHead() {
         isReadingHead = true
-        startTimer(limits.headerTimeoutMs) { refuse(incomplete("the head")) }
+        sinceMs = clock.nowMs()
+        startTimer(limits.headerTimeoutMs) { refuse(headCheck.incomplete("the head")) }
+    }
+
+    override fun onPressureChanged() = updateReading()
+
+    override fun onEvicted() =
+        refuse(notRun(ResultCode.MEMORY_SHORT, "The host holds too much for its callers."))
+
+    private fun updateReading() {
+        val isFull = pipelined.size > MAX_PIPELINED
+        val mayRead = isRefused || (!isFull && budget.mayRead(holding))
+        context?.channel()?.config()?.isAutoRead = mayRead
+    }
+
+    private fun updateHeld() {
+        val incomplete = undecodedBytes + (assembly?.heldBytes ?: 0)
+        val complete = (current?.bytes ?: 0) + pipelined.sumOf { it.bytes } + responseBytes
+        holding.incompleteBytes = incomplete
+        if (incomplete == 0L) holding.incompleteSinceMs = null
+        budget.resize(holding, CONNECTION_BYTES + incomplete + complete)
+        updateReading()
     }
 
     override fun handlerAdded(context: ChannelHandlerContext) {
@@ -85,7 +132,10 @@
     override fun channelInactive(context: ChannelHandlerContext) {
         timer?.cancel(false)
         pipelined.clear()
-        serving?.cancel()
+        assembly = null
+        budget.close(holding)
+        // A complete response fails to be written, and its request has been recorded.
+        if (writer?.isComplete != true) serving?.cancel()
         onClosed(this)
     }
 
@@ -95,73 +145,37 @@
 
     private fun readHead(head: HttpRequest) {
         isReadingHead = false
-        val fault = faultOf(head)
+        undecodedBytes = 0
+        val fault = headCheck.faultOf(head)
         if (fault != null) return refuse(fault)
         if (HttpUtil.is100ContinueExpected(head)) writeContinue()
         assembly = RequestAggregator(head, limits.maxBodyBytes)
-        startTimer(limits.idleTimeoutMs) { refuse(incomplete("the body")) }
-    }
-
-    private fun faultOf(head: HttpRequest): Failure? {
-        val cause = head.decoderResult().cause()
-        return when {
-            cause is TooLongFrameException ->
-                Failure(
-                    code = ResultCode.HEADERS_TOO_LARGE,
-                    detail = "The request head is larger than ${limits.maxHeaderBytes} bytes."
-                )
-
-            cause != null -> malformed("The request head is not valid HTTP.")
-
-            head.protocolVersion() != HttpVersion.HTTP_1_1 ->
-                malformed("Expected HTTP/1.1, found ${head.protocolVersion()}.")
-
-            head.headers().getAll(HttpHeaderNames.HOST).size != 1 ->
-                malformed("Expected exactly one Host header.")
-
-            !isCodingSupported(
-                head
-            ) -> malformed("The only supported transfer coding is 'chunked'.")
-
-            HttpUtil.getContentLength(head, 0L) > limits.maxBodyBytes -> tooLarge()
-
-            else -> null
-        }
-    }
-
-    // With other codings, intermediaries may disagree on where the body ends (request smuggling).
-    private fun isCodingSupported(head: HttpRequest): Boolean {
-        val codings = head.headers().getAll(HttpHeaderNames.TRANSFER_ENCODING)
-        return codings.isEmpty() || codings.singleOrNull().equals("chunked", ignoreCase = true)
+        startTimer(limits.idleTimeoutMs) { refuse(headCheck.incomplete("the body")) }
+        updateHeld()
     }
 
     private fun readBody(content: HttpContent) {
-        val current = assembly ?: return
-        if (content.decoderResult().isFailure) return refuse(malformed("Malformed request body."))
-        if (!current.add(content.content())) return refuse(tooLarge())
+        val reading = assembly ?: return
+        if (content.decoderResult().isFailure) return refuse(headCheck.faultOf(content))
+        val bytes = content.content()
+        if (!reading.prepare(bytes.readableBytes())) return refuse(headCheck.tooLarge())
+        updateHeld()
+        if (isRefused) return
+        reading.add(bytes)
         if (content !is LastHttpContent) return
         assembly = null
         timer?.cancel(false)
-        pipelined += current.complete(ClockReading.now(clock))
-        if (pipelined.size > MAX_PIPELINED) context?.channel()?.config()?.isAutoRead = false
+        pipelined += HeldRequest(reading.complete(ClockReading.now(clock)), reading.heldBytes)
+        updateHeld()
         if (serving == null) serveNext()
     }
 
     private fun serveNext() {
-        val request = pipelined.removeFirstOrNull() ?: return waitForRequest()
+        current = pipelined.removeFirstOrNull()
+        updateHeld()
+        val request = current?.request ?: return waitForRequest()
         val channel = context?.channel() ?: return
-        channel.config().isAutoRead = true
-        val closes = isDraining() ||
-            request.headers.containsValue(
-                HttpHeaderNames.CONNECTION,
-                HttpHeaderValues.CLOSE,
-                true
-            )
-        val answer = ChannelAnswerWriter(
-            channel = channel,
-            hasBody = request.method != HttpMethod.HEAD,
-            closes = { closes || isDraining() }
-        )
+        val answer = answerTo(request, channel)
         writer = answer
         serving = scope.launch {
             try {
@@ -172,16 +186,37 @@
         }
     }
 
+    private fun answerTo(request: CallerRequest, channel: Channel): ChannelAnswerWriter {
+        val connection = HttpHeaderNames.CONNECTION
+        val closes = isDraining() ||
+            request.headers.containsValue(connection, HttpHeaderValues.CLOSE, true)
+        return ChannelAnswerWriter(
+            channel = channel,
+            hasBody = request.method != HttpMethod.HEAD,
+            stallMs = limits.idleTimeoutMs,
+            onHeld = ::recordResponse,
+            closes = { closes || isDraining() }
+        )
+    }
+
+    /** Records that a complete response of [bytes] is being written; its request is not needed. */
+    private fun recordResponse(bytes: Int) {
+        responseBytes = bytes.toLong()
+        current = null
+        updateHeld()
+    }
+
     private fun onServed(answer: ChannelAnswerWriter) {
         serving = null
         writer = null
         if (!answer.isComplete) return close()
-        if (answer.isLast) return
+        if (answer.isLast) return startTimer(limits.idleTimeoutMs) { close() }
         serveNext()
     }
 
     private fun waitForRequest() {
-        if (assembly != null || isReadingHead) return
+        if (isRefused || assembly != null || isReadingHead) return
+        sinceMs = clock.nowMs()
         startTimer(limits.idleTimeoutMs) { close() }
     }
 
@@ -200,8 +235,13 @@
     private fun refuse(failure: Failure) {
         if (isRefused) return
         isRefused = true
+        if (failure.code == ResultCode.TOO_MANY_LINES) {
+            budget.recordRefusal(BudgetReason.LINES, holding.bytes, holding.incompleteSinceMs)
+        }
         timer?.cancel(false)
         assembly = null
+        undecodedBytes = 0
+        updateHeld()
         scope.launch {
             // Requests read before the rejected one are served first, one after the other.
             while (serving != null) serving?.join()
@@ -209,7 +249,12 @@
         }
     }
 
+    /**
+     * Writes the response and ends the connection's output. What the caller still sends is dropped
+     * for a while, since closing at once could discard the response on its way.
+     */
     private fun writeRefusal(failure: Failure) {
+        startTimer(LINGER_MS) { close() }
         val response = DefaultFullHttpResponse(
             HttpVersion.HTTP_1_1,
             HttpResponseStatus.valueOf(errorResponses.statusOf(failure))
@@ -217,20 +262,25 @@
         response.headers().set(errorResponses.headersOf(failure))
         response.headers().set(HttpHeaderNames.CONTENT_LENGTH, 0)
         response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE)
-        context?.writeAndFlush(response)?.addListener(ChannelFutureListener.CLOSE)
+        context?.writeAndFlush(response)?.addListener { endOutput() }
     }
 
-    private fun incomplete(what: String) =
-        Failure(ResultCode.REQUEST_INCOMPLETE, "$what did not arrive within the time limit.")
-
-    private fun malformed(detail: String) = Failure(ResultCode.REQUEST_MALFORMED, detail)
+    private fun endOutput() {
+        (context?.channel() as? SocketChannel)?.shutdownOutput()
+    }
 
-    private fun tooLarge() = Failure(
-        code = ResultCode.BODY_TOO_LARGE,
-        detail = "The request body is larger than ${limits.maxBodyBytes} bytes."
-    )
+    private fun notRun(code: ResultCode, detail: String) = Failure(code, detail, RETRY_MS)
 
     private companion object {
+        // What Netty keeps for an open connection.
+        const val CONNECTION_BYTES = 4_096L
+
+        // Time for a refused caller to read the response, whether it does or not.
+        const val LINGER_MS = 1_000L
+
+        // Longer than it takes to relieve the pressure on memory.
+        const val RETRY_MS = 500L
+
         // Pipelined requests per connection; beyond that, reading stops until one is served.
         const val MAX_PIPELINED = 8
     }
--- a/gateway/netty/src/main/kotlin/org/hyssoprack/gateway/netty/CallerServer.kt
+++ b/gateway/netty/src/main/kotlin/org/hyssoprack/gateway/netty/CallerServer.kt
@@ -2,6 +2,7 @@
 
 import arrow.core.Either
 import io.netty.bootstrap.ServerBootstrap
+import io.netty.channel.AdaptiveRecvByteBufAllocator
 import io.netty.channel.Channel
 import io.netty.channel.ChannelInitializer
 import io.netty.channel.ChannelOption
@@ -21,6 +22,7 @@
 /**
  * HTTP server for callers on one address.
  *
+ * @param budget what all connections of the host may hold together.
  * @param limits read for each new connection, since settings change at runtime.
  */
 class CallerServer(
@@ -29,7 +31,8 @@
     private val handler: RequestHandler,
     private val errorResponses: ErrorResponses,
     private val limits: () -> CallerLimits,
-    private val clock: Clock = SystemClock
+    private val clock: Clock = SystemClock,
+    private val budget: ByteBudget = ByteBudget()
 ) {
     private val connections = HashSet<CallerConnection>()
     private var listener: Channel? = null
@@ -43,6 +46,7 @@
             .option(ChannelOption.SO_BACKLOG, BACKLOG)
             .option(ChannelOption.SO_REUSEADDR, true)
             .childOption(ChannelOption.TCP_NODELAY, true)
+            .childOption(ChannelOption.RCVBUF_ALLOCATOR, READ_BUFFERS)
             .childOption(ChannelOption.WRITE_BUFFER_WATER_MARK, WATER_MARK)
             .childHandler(initializer())
         listener = bootstrap.bind(address.ip, address.port).awaitChannel()
@@ -66,23 +70,39 @@
                 handler = handler,
                 errorResponses = errorResponses,
                 limits = currentLimits,
+                budget = budget,
                 isDraining = { isDraining },
                 onClosed = { connections.remove(it) },
                 clock = clock
             )
+            makeRoom()
             connections.add(connection)
             channel.pipeline().addLast(
                 RawBytesHandler(connection),
-                StrictRequestDecoder(currentLimits.maxHeaderBytes),
+                StrictRequestDecoder(currentLimits.maxHeaderBytes, budget.limits()),
                 HttpResponseEncoder(),
                 connection
             )
         }
     }
 
+    // A crowd that keeps connections open without a request must not keep ordinary callers out.
+    private fun makeRoom() {
+        if (connections.size < budget.limits().maxConnections) return
+        val longest = connections.filter { it.isIdle }.minByOrNull { it.sinceMs }
+            ?: connections.filter { it.isIncomplete }.minByOrNull { it.sinceMs }
+            ?: return
+        budget.recordRefusal(BudgetReason.CONNECTIONS, 0, longest.sinceMs)
+        connections.remove(longest)
+        longest.close()
+    }
+
     private companion object {
         // Queue length for connections that callers open while the event loop's thread does not run.
         const val BACKLOG = 1_024
+
+        // A connection with an incomplete head keeps one such buffer.
+        val READ_BUFFERS = AdaptiveRecvByteBufAllocator(512, 2_048, 16_384)
         val WATER_MARK = WriteBufferWaterMark(32_768, 131_072)
     }
 }
--- a/gateway/netty/src/main/kotlin/org/hyssoprack/gateway/netty/ChannelAnswerWriter.kt
+++ b/gateway/netty/src/main/kotlin/org/hyssoprack/gateway/netty/ChannelAnswerWriter.kt
@@ -2,10 +2,12 @@
 
 import io.netty.buffer.Unpooled
 import io.netty.channel.Channel
+import io.netty.channel.ChannelFuture
 import io.netty.channel.ChannelFutureListener
 import io.netty.handler.codec.http.DefaultFullHttpResponse
 import io.netty.handler.codec.http.DefaultHttpContent
 import io.netty.handler.codec.http.DefaultHttpResponse
+import io.netty.handler.codec.http.DefaultLastHttpContent
 import io.netty.handler.codec.http.HttpHeaderNames
 import io.netty.handler.codec.http.HttpHeaderValues
 import io.netty.handler.codec.http.HttpHeaders
@@ -14,16 +16,21 @@
 import io.netty.handler.codec.http.HttpVersion
 import io.netty.handler.codec.http.LastHttpContent
 import kotlinx.coroutines.CompletableDeferred
+import kotlinx.coroutines.withTimeoutOrNull
 import org.hyssoprack.gateway.ResponseWriter
 
 /**
  * Writes a response to a caller's connection.
  *
+ * @param stallMs time after which a caller that reads nothing of a response is cut off.
+ * @param onHeld called with the size of a complete response that is being written, and with 0.
  * @param hasBody whether the response may have a body; false for a response to a HEAD request.
  */
 internal class ChannelAnswerWriter(
     private val channel: Channel,
     private val hasBody: Boolean,
+    private val stallMs: Long,
+    private val onHeld: (Int) -> Unit,
     private val closes: () -> Boolean
 ) : ResponseWriter {
     private var writableSignal: CompletableDeferred<Unit>? = null
@@ -39,6 +46,7 @@
         private set
 
     override suspend fun answer(status: Int, headers: HttpHeaders, body: ByteArray) {
+        if (hasBody && body.size > PIECE_BYTES) return answerInPieces(status, headers, body)
         val response = DefaultFullHttpResponse(
             HttpVersion.HTTP_1_1,
             HttpResponseStatus.valueOf(status),
@@ -52,6 +60,33 @@
         complete(response)
     }
 
+    // Netty copies each piece into direct memory, which a caller that reads slowly keeps in use.
+    private suspend fun answerInPieces(status: Int, headers: HttpHeaders, body: ByteArray) {
+        val response =
+            DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(status))
+        response.headers().set(headers)
+        response.headers().remove(HttpHeaderNames.TRANSFER_ENCODING)
+        response.headers().set(HttpHeaderNames.CONTENT_LENGTH, body.size)
+        begin(response)
+        isComplete = true
+        onHeld(body.size)
+        channel.write(response)
+        val lastFrom = (body.size - 1) / PIECE_BYTES * PIECE_BYTES
+        for (from in 0 until lastFrom step PIECE_BYTES) {
+            val piece = Unpooled.wrappedBuffer(body, from, PIECE_BYTES)
+            if (!isWritten(channel.writeAndFlush(DefaultHttpContent(piece)))) return abort()
+        }
+        val rest = Unpooled.wrappedBuffer(body, lastFrom, body.size - lastFrom)
+        complete(DefaultLastHttpContent(rest))
+        onHeld(0)
+    }
+
+    private suspend fun isWritten(writing: ChannelFuture): Boolean {
+        val written = CompletableDeferred<Boolean>()
+        writing.addListener { written.complete(it.isSuccess) }
+        return withTimeoutOrNull(stallMs) { written.await() } ?: false
+    }
+
     override suspend fun start(status: Int, headers: HttpHeaders) {
         val response =
             DefaultHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(status))
@@ -98,4 +133,8 @@
         val written = channel.writeAndFlush(message)
         if (isLast) written.addListener(ChannelFutureListener.CLOSE)
     }
+
+    private companion object {
+        const val PIECE_BYTES = 65_536
+    }
 }
--- a/gateway/netty/src/main/kotlin/org/hyssoprack/gateway/netty/NettyServerConnection.kt
+++ b/gateway/netty/src/main/kotlin/org/hyssoprack/gateway/netty/NettyServerConnection.kt
@@ -6,6 +6,7 @@
 import io.netty.channel.ChannelHandlerContext
 import io.netty.channel.ChannelInboundHandlerAdapter
 import io.netty.handler.codec.http.DefaultFullHttpRequest
+import io.netty.handler.codec.http.DefaultHttpRequest
 import io.netty.handler.codec.http.HttpContent
 import io.netty.handler.codec.http.HttpHeaderNames
 import io.netty.handler.codec.http.HttpHeaders
@@ -31,9 +32,12 @@
 internal class NettyServerConnection(
     override val number: Long,
     private val onDropped: (DropReason) -> Unit,
+    private val budget: ByteBudget = ByteBudget(),
     private val onIdle: (NettyServerConnection, Long) -> Unit
 ) : ChannelInboundHandlerAdapter(),
-    ServerConnection {
+    ServerConnection,
+    HoldingOwner {
+    private lateinit var holding: Holding
     val decoder = ServerResponseDecoder()
     private val parts = ArrayDeque<ResponsePart>()
     private var bufferedBytes = 0
@@ -90,20 +94,37 @@
         interimCount = 0
         isAwaitingResponse = true
         isWriting = true
-        val request = DefaultFullHttpRequest(
-            HttpVersion.HTTP_1_1,
-            method,
-            uri,
-            Unpooled.wrappedBuffer(body)
-        )
+        val isWhole = body.size <= RequestBodyWriter.PIECE_BYTES
+        val request = if (isWhole) {
+            val content = Unpooled.wrappedBuffer(body)
+            DefaultFullHttpRequest(HttpVersion.HTTP_1_1, method, uri, content)
+        } else {
+            DefaultHttpRequest(HttpVersion.HTTP_1_1, method, uri)
+        }
         request.headers().set(headers)
         request.headers().remove(HttpHeaderNames.TRANSFER_ENCODING)
         if (body.isNotEmpty() || method != HttpMethod.GET) {
             request.headers().set(HttpHeaderNames.CONTENT_LENGTH, body.size)
         }
-        channel?.writeAndFlush(request)?.addListener { recordWritten(it.cause()) }
+        val target = channel ?: return
+        val written = target.writeAndFlush(request)
+        if (isWhole) {
+            written.addListener { recordWritten(it.cause()) }
+        } else {
+            RequestBodyWriter(target, body, ::recordWritten).write()
+        }
+    }
+
+    override suspend fun hold(bytes: Int) {
+        val granted = CompletableDeferred<Unit>()
+        budget.request(holding, bytes.toLong()) { granted.complete(Unit) }
+        granted.await()
     }
 
+    override fun onPressureChanged() = Unit
+
+    override fun onEvicted() = Unit
+
     // After a failed write Netty closes the channel without exceptionCaught, and the decoder ends a
     // response without a length as if the server had closed the connection.
     private fun recordWritten(cause: Throwable?) {
@@ -116,6 +137,7 @@
         while (parts.isEmpty()) awaitArrival()
         val part = parts.removeFirst()
         if (part is ResponsePart.Body) bufferedBytes -= part.bytes.size
+        updateHeld()
         val isRead = parts.size < RESUME_PARTS && bufferedBytes < RESUME_BYTES
         if (isRead) channel?.config()?.isAutoRead = true
         return part
@@ -128,7 +150,10 @@
         signal.await()
     }
 
+    private fun updateHeld() = budget.resize(holding, bufferedBytes + holding.grantedBytes)
+
     override fun release(idleMs: Long) {
+        budget.release(holding)
         repeat(parts.count { it is ResponsePart.Head }) { onDropped(DropReason.AFTER_RESPONSE) }
         if (!isUsable || parts.isNotEmpty() || idleMs <= 0) return close()
         isIdle = true
@@ -141,8 +166,12 @@
 
     override fun handlerAdded(context: ChannelHandlerContext) {
         channel = context.channel()
+        holding = budget.open(this)
     }
 
+    // Called also if the connection was never established.
+    override fun handlerRemoved(context: ChannelHandlerContext) = budget.close(holding)
+
     override fun channelRead(context: ChannelHandlerContext, message: Any) {
         try {
             if (message is HttpResponse) readHead(message)
@@ -226,7 +255,9 @@
 
     private fun put(part: ResponsePart) {
         parts.addLast(part)
-        val isFull = parts.size > STOP_PARTS || bufferedBytes > STOP_BYTES
+        updateHeld()
+        val stopBytes = if (budget.isShort) RESUME_BYTES else STOP_BYTES
+        val isFull = parts.size > STOP_PARTS || bufferedBytes > stopBytes
         if (isFull) channel?.config()?.isAutoRead = false
         arrival?.complete(Unit)
         arrival = null
--- a/gateway/netty/src/main/kotlin/org/hyssoprack/gateway/netty/NettyServerConnections.kt
+++ b/gateway/netty/src/main/kotlin/org/hyssoprack/gateway/netty/NettyServerConnections.kt
@@ -19,11 +19,13 @@
 /**
  * Connection pool by server address; reuses the most recently used connection first.
  *
+ * @param budget what all connections of the host may hold together.
  * @param onDropped called for each response that is dropped with its connection.
  */
 class NettyServerConnections(
     private val loop: HostEventLoop,
     private val clock: Clock = SystemClock,
+    private val budget: ByteBudget = ByteBudget(),
     private val onDropped: (DropReason) -> Unit = {}
 ) : ServerConnections {
     private val idle = HashMap<NetworkAddress, ArrayDeque<IdleConnection>>()
@@ -77,7 +79,7 @@
         address: NetworkAddress,
         timeoutMs: Int
     ): Either<Failure, ServerConnection> {
-        val connection = NettyServerConnection(++opened, onDropped) { idled, idleMs ->
+        val connection = NettyServerConnection(++opened, onDropped, budget) { idled, idleMs ->
             addIdle(address, idled, idleMs)
         }
         return Either.catch {
--- a/gateway/netty/src/main/kotlin/org/hyssoprack/gateway/netty/RawBytesHandler.kt
+++ b/gateway/netty/src/main/kotlin/org/hyssoprack/gateway/netty/RawBytesHandler.kt
@@ -1,13 +1,15 @@
 package org.hyssoprack.gateway.netty
 
+import io.netty.buffer.ByteBuf
 import io.netty.channel.ChannelHandlerContext
 import io.netty.channel.ChannelInboundHandlerAdapter
+import io.netty.util.ReferenceCountUtil
 
-/** Notifies [connection] of received bytes before they are decoded. */
+/** Shows [connection] received bytes before they are decoded; drops those that it refuses. */
 internal class RawBytesHandler(private val connection: CallerConnection) :
     ChannelInboundHandlerAdapter() {
     override fun channelRead(context: ChannelHandlerContext, message: Any) {
-        connection.onBytesReceived()
-        context.fireChannelRead(message)
+        val isWanted = message !is ByteBuf || connection.onBytesReceived(message)
+        if (isWanted) context.fireChannelRead(message) else ReferenceCountUtil.release(message)
     }
 }
