Hold complete responses within the host's byte budget

Long responses to slow callers ended the process: each was collected in a growing buffer, copied, and copied again into direct memory. A response is now collected only once the budget has room for it, which it keeps until it is written, in pieces. The body of a request is freed before its response is written.

--- a/gateway/api/src/main/kotlin/org/hyssoprack/gateway/CallerRequest.kt
+++ b/gateway/api/src/main/kotlin/org/hyssoprack/gateway/CallerRequest.kt
@@ -14,6 +14,15 @@
     val method: HttpMethod,
     val uri: String,
     val headers: HttpHeaders,
-    val body: ByteArray,
+    body: ByteArray,
     val arrived: ClockReading
-)
+) {
+    /** The body; empty once it is released. */
+    var body: ByteArray = body
+        private set
+
+    /** Frees the body, once the request cannot be sent again. */
+    fun releaseBody() {
+        body = ByteArray(0)
+    }
+}
--- a/gateway/api/src/main/kotlin/org/hyssoprack/gateway/ResponseWriter.kt
+++ b/gateway/api/src/main/kotlin/org/hyssoprack/gateway/ResponseWriter.kt
@@ -7,6 +7,12 @@
     /** Whether a first byte has been written. */
     val isStarted: Boolean
 
+    /**
+     * Waits until the host may hold [bytes] of a response that is collected whole, in all. They are
+     * given back once the response has been written.
+     */
+    suspend fun hold(bytes: Int) = Unit
+
     /** Writes a complete response. */
     suspend fun answer(status: Int, headers: HttpHeaders, body: ByteArray)
 
--- a/gateway/api/src/main/kotlin/org/hyssoprack/gateway/ServerConnection.kt
+++ b/gateway/api/src/main/kotlin/org/hyssoprack/gateway/ServerConnection.kt
@@ -28,12 +28,6 @@
         requestId: String?
     )
 
-    /**
-     * Waits until the host may hold [bytes] of the response until it is released, beside the parts
-     * that have arrived.
-     */
-    suspend fun hold(bytes: Int) = Unit
-
     /** Waits for the next part of the response. */
     suspend fun next(): ResponsePart
 
--- a/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/RequestForwarder.kt
+++ b/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/RequestForwarder.kt
@@ -81,7 +81,8 @@
         try {
             val leftMs = (call.endMs - clock.nowMs()).coerceAtLeast(1)
             val end = withTimeoutOrNull(leftMs) { tryServers(request, call, answer, progress) }
-            finish(call, answer, progress, withEarlierRun(end ?: timedOut(progress), progress))
+            val result = withEarlierRun(end ?: timedOut(progress), progress)
+            finish(request, call, answer, progress, result)
         } catch (e: CancellationException) {
             if (progress.runs == 0) refund(progress)
             telemetry.recordEnd(call, progress, callerDisconnected(progress))
@@ -236,6 +237,7 @@
     }
 
     private suspend fun finish(
+        request: CallerRequest,
         call: AdmittedRequest,
         answer: ResponseWriter,
         progress: RequestProgress,
@@ -243,6 +245,7 @@
     ) {
         if (progress.runs == 0) refund(progress)
         telemetry.recordEnd(call, progress, end)
+        request.releaseBody()
         when (end) {
             is RequestResult.Delivered -> Unit
 
--- a/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/ResponseReader.kt
+++ b/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/ResponseReader.kt
@@ -62,8 +62,15 @@
         }
     }
 
-    /** Returns the complete body; calls [onBytes] for each part of it. */
-    suspend fun body(head: HttpResponse, onBytes: () -> Unit): Either<AttemptResult, ByteArray> {
+    /**
+     * Returns the complete body; calls [onBytes] for each part of it, and [hold] to wait until the
+     * host may hold so many bytes of it.
+     */
+    suspend fun body(
+        head: HttpResponse,
+        hold: suspend (Int) -> Unit,
+        onBytes: () -> Unit
+    ): Either<AttemptResult, ByteArray> {
         val declared = HttpUtil.getContentLength(head, -1L).takeIf { it in 0..MAX_RESPONSE_BYTES }
         val body = BodyBuffer(declared?.toInt(), MAX_RESPONSE_BYTES)
         var held = 0
@@ -73,7 +80,7 @@
                     val capacity = body.capacityFor(part.bytes.size) ?: return tooLarge().left()
                     if (capacity > HOLD_FROM_BYTES && capacity > held) {
                         val most = maxOf(capacity, declared?.toInt() ?: 0)
-                        connection.hold(most - held)
+                        hold(most)
                         held = most
                     }
                     body.add(part.bytes)
--- a/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/ServerAttempt.kt
+++ b/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/ServerAttempt.kt
@@ -154,7 +154,7 @@
             )
         }
         if (isSuccess && call.route.kind.isStream) return relayStream(reader, head, metadata)
-        val body = reader.body(head) { recordProgress() }.getOrElse { return it }
+        val body = reader.body(head, relay::hold) { recordProgress() }.getOrElse { return it }
         reader.connection.release(idleMs(metadata))
         return classify(head, metadata, body)
     }
--- a/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/StreamRelay.kt
+++ b/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/StreamRelay.kt
@@ -47,6 +47,9 @@
         answer.send(complete)
     }
 
+    /** Waits until the host may hold [bytes] of a response that is not a stream. */
+    suspend fun hold(bytes: Int) = answer.hold(bytes)
+
     suspend fun end() {
         writeHead()
         answer.end()
--- a/gateway/netty/src/main/kotlin/org/hyssoprack/gateway/netty/ByteBudget.kt
+++ b/gateway/netty/src/main/kotlin/org/hyssoprack/gateway/netty/ByteBudget.kt
@@ -58,7 +58,7 @@
         if (heldBytes > limit) evict(limit * RELIEF_PERCENT / PERCENT)
     }
 
-    /** Adds [bytes] to [holding] once there is room, then calls [resume]. */
+    /** Grants [holding] a response of [bytes] in all once there is room, then calls [resume]. */
     internal fun request(holding: Holding, bytes: Long, resume: () -> Unit) {
         waiting += Waiting(holding, bytes, resume)
         grantWaiting()
@@ -132,13 +132,14 @@
     private fun grantWaiting() {
         while (true) {
             val next = waiting.firstOrNull() ?: return
-            val isFree = heldBytes + next.bytes <= bulkBytes
+            val more = (next.bytes - next.holding.grantedBytes).coerceAtLeast(0)
+            val isFree = heldBytes + more <= bulkBytes
             val isOnly = holdings.none { it !== next.holding && it.grantedBytes > 0 }
             if (!isFree && !isOnly) return
             waiting.removeFirst()
-            next.holding.grantedBytes += next.bytes
-            heldBytes += next.bytes
-            next.holding.bytes += next.bytes
+            next.holding.grantedBytes += more
+            heldBytes += more
+            next.holding.bytes += more
             updatePressure()
             next.resume()
         }
--- a/gateway/netty/src/main/kotlin/org/hyssoprack/gateway/netty/CallerConnection.kt
+++ b/gateway/netty/src/main/kotlin/org/hyssoprack/gateway/netty/CallerConnection.kt
@@ -18,6 +18,7 @@
 import io.netty.util.ReferenceCountUtil
 import io.netty.util.concurrent.ScheduledFuture
 import java.util.concurrent.TimeUnit
+import kotlinx.coroutines.CompletableDeferred
 import kotlinx.coroutines.CoroutineScope
 import kotlinx.coroutines.Job
 import kotlinx.coroutines.launch
@@ -46,7 +47,6 @@
     private val pipelined = ArrayDeque<HeldRequest>()
     private var current: HeldRequest? = null
     private var undecodedBytes = 0L
-    private var responseBytes = 0L
     private var context: ChannelHandlerContext? = null
     private var assembly: RequestAggregator? = null
     private var serving: Job? = null
@@ -102,7 +102,7 @@
 
     private fun updateHeld() {
         val incomplete = undecodedBytes + (assembly?.heldBytes ?: 0)
-        val complete = (current?.bytes ?: 0) + pipelined.sumOf { it.bytes } + responseBytes
+        val complete = (current?.bytes ?: 0) + pipelined.sumOf { it.bytes } + holding.grantedBytes
         holding.incompleteBytes = incomplete
         if (incomplete == 0L) holding.incompleteSinceMs = null
         budget.resize(holding, CONNECTION_BYTES + incomplete + complete)
@@ -165,7 +165,7 @@
         if (content !is LastHttpContent) return
         assembly = null
         timer?.cancel(false)
-        pipelined += HeldRequest(reading.complete(ClockReading.now(clock)), reading.heldBytes)
+        pipelined += HeldRequest(reading.complete(ClockReading.now(clock)), reading.headBytes)
         updateHeld()
         if (serving == null) serveNext()
     }
@@ -193,22 +193,23 @@
         return ChannelAnswerWriter(
             channel = channel,
             hasBody = request.method != HttpMethod.HEAD,
-            stallMs = limits.idleTimeoutMs,
-            onHeld = ::recordResponse,
+            writeWithinMs = limits.idleTimeoutMs,
+            waitForRoom = ::waitForRoom,
             closes = { closes || isDraining() }
         )
     }
 
-    /** Records that a complete response of [bytes] is being written; its request is not needed. */
-    private fun recordResponse(bytes: Int) {
-        responseBytes = bytes.toLong()
-        current = null
-        updateHeld()
+    private suspend fun waitForRoom(bytes: Int) {
+        val granted = CompletableDeferred<Unit>()
+        budget.request(holding, bytes.toLong()) { granted.complete(Unit) }
+        granted.await()
     }
 
     private fun onServed(answer: ChannelAnswerWriter) {
         serving = null
         writer = null
+        current = null
+        budget.release(holding)
         if (!answer.isComplete) return close()
         if (answer.isLast) return startTimer(limits.idleTimeoutMs) { close() }
         serveNext()
--- a/gateway/netty/src/main/kotlin/org/hyssoprack/gateway/netty/ChannelAnswerWriter.kt
+++ b/gateway/netty/src/main/kotlin/org/hyssoprack/gateway/netty/ChannelAnswerWriter.kt
@@ -22,15 +22,15 @@
 /**
  * Writes a response to a caller's connection.
  *
- * @param stallMs time after which a caller that reads nothing of a response is cut off.
- * @param onHeld called with the size of a complete response that is being written, and with 0.
+ * @param writeWithinMs time after which a caller that has not read a complete response is cut off.
+ * @param waitForRoom waits until the host may hold so many bytes of the response.
  * @param hasBody whether the response may have a body; false for a response to a HEAD request.
  */
 internal class ChannelAnswerWriter(
     private val channel: Channel,
     private val hasBody: Boolean,
-    private val stallMs: Long,
-    private val onHeld: (Int) -> Unit,
+    private val writeWithinMs: Long,
+    private val waitForRoom: suspend (Int) -> Unit,
     private val closes: () -> Boolean
 ) : ResponseWriter {
     private var writableSignal: CompletableDeferred<Unit>? = null
@@ -45,6 +45,8 @@
     var isLast = false
         private set
 
+    override suspend fun hold(bytes: Int) = waitForRoom(bytes)
+
     override suspend fun answer(status: Int, headers: HttpHeaders, body: ByteArray) {
         if (hasBody && body.size > PIECE_BYTES) return answerInPieces(status, headers, body)
         val response = DefaultFullHttpResponse(
@@ -69,22 +71,25 @@
         response.headers().set(HttpHeaderNames.CONTENT_LENGTH, body.size)
         begin(response)
         isComplete = true
-        onHeld(body.size)
         channel.write(response)
+        withTimeoutOrNull(writeWithinMs) { writePieces(body) } ?: abort()
+    }
+
+    /** Writes [body]; returns null if the connection is lost. */
+    private suspend fun writePieces(body: ByteArray): Unit? {
         val lastFrom = (body.size - 1) / PIECE_BYTES * PIECE_BYTES
         for (from in 0 until lastFrom step PIECE_BYTES) {
             val piece = Unpooled.wrappedBuffer(body, from, PIECE_BYTES)
-            if (!isWritten(channel.writeAndFlush(DefaultHttpContent(piece)))) return abort()
+            if (!isWritten(channel.writeAndFlush(DefaultHttpContent(piece)))) return null
         }
         val rest = Unpooled.wrappedBuffer(body, lastFrom, body.size - lastFrom)
-        complete(DefaultLastHttpContent(rest))
-        onHeld(0)
+        return complete(DefaultLastHttpContent(rest))
     }
 
     private suspend fun isWritten(writing: ChannelFuture): Boolean {
         val written = CompletableDeferred<Boolean>()
         writing.addListener { written.complete(it.isSuccess) }
-        return withTimeoutOrNull(stallMs) { written.await() } ?: false
+        return written.await()
     }
 
     override suspend fun start(status: Int, headers: HttpHeaders) {
--- a/gateway/netty/src/main/kotlin/org/hyssoprack/gateway/netty/Holding.kt
+++ b/gateway/netty/src/main/kotlin/org/hyssoprack/gateway/netty/Holding.kt
@@ -11,7 +11,7 @@
     /** Bytes of the incomplete request, which are free once it is refused. */
     var incompleteBytes = 0L
 
-    /** Bytes granted to a response that is collected whole. */
+    /** Bytes granted to a response that is collected whole, until it has been written. */
     var grantedBytes = 0L
         internal set
 
--- a/gateway/netty/src/main/kotlin/org/hyssoprack/gateway/netty/NettyServerConnection.kt
+++ b/gateway/netty/src/main/kotlin/org/hyssoprack/gateway/netty/NettyServerConnection.kt
@@ -115,12 +115,6 @@
         }
     }
 
-    override suspend fun hold(bytes: Int) {
-        val granted = CompletableDeferred<Unit>()
-        budget.request(holding, bytes.toLong()) { granted.complete(Unit) }
-        granted.await()
-    }
-
     override fun onPressureChanged() = Unit
 
     override fun onEvicted() = Unit
@@ -150,10 +144,9 @@
         signal.await()
     }
 
-    private fun updateHeld() = budget.resize(holding, bufferedBytes + holding.grantedBytes)
+    private fun updateHeld() = budget.resize(holding, bufferedBytes.toLong())
 
     override fun release(idleMs: Long) {
-        budget.release(holding)
         repeat(parts.count { it is ResponsePart.Head }) { onDropped(DropReason.AFTER_RESPONSE) }
         if (!isUsable || parts.isNotEmpty() || idleMs <= 0) return close()
         isIdle = true
--- a/gateway/netty/src/main/kotlin/org/hyssoprack/gateway/netty/RequestAggregator.kt
+++ b/gateway/netty/src/main/kotlin/org/hyssoprack/gateway/netty/RequestAggregator.kt
@@ -9,7 +9,8 @@
 
 /** Collects the body of a request up to [maxBytes]. */
 internal class RequestAggregator(private val head: HttpRequest, private val maxBytes: Int) {
-    private val headBytes = HeadCost.of(head)
+    /** Heap that the head takes. */
+    val headBytes = HeadCost.of(head)
     private val body = BodyBuffer(declaredBytes(), maxBytes)
     private var capacity = 0
 
