--- a/gateway/netty/src/main/kotlin/org/hyssoprack/gateway/netty/ByteBudget.kt
+++ b/gateway/netty/src/main/kotlin/org/hyssoprack/gateway/netty/ByteBudget.kt
@@ -39,6 +39,8 @@
 
     private val bulkBytes: Long get() = limits().maxHeldBytes * BULK_PERCENT / PERCENT
 
+    private val reliefBytes: Long get() = limits().maxHeldBytes * RELIEF_PERCENT / PERCENT
+
     internal fun open(owner: HoldingOwner): Holding = Holding(owner).also { holdings += it }
 
     internal fun close(holding: Holding) {
@@ -54,8 +56,9 @@
     internal fun resize(holding: Holding, bytes: Long) {
         if (holding !in holdings) return
         change(holding, bytes)
-        val limit = limits().maxHeldBytes
-        if (heldBytes > limit) evict(limit * RELIEF_PERCENT / PERCENT)
+        if (heldBytes <= limits().maxHeldBytes) return
+        evict(reliefBytes) { !it.isIncompleteSmall }
+        evict(limits().maxHeldBytes) { true }
     }
 
     /** Grants [holding] a response of [bytes] in all once there is room, then calls [resume]. */
@@ -76,7 +79,7 @@
     fun tick() {
         val sinceMs = pressureSinceMs ?: return
         if (clock.nowMs() - sinceMs < PATIENCE_MS) return
-        evict(limits().maxHeldBytes * RELIEF_PERCENT / PERCENT)
+        evict(reliefBytes) { !it.isIncompleteSmall }
         pressureSinceMs = pressureSinceMs?.let { clock.nowMs() }
     }
 
@@ -109,16 +112,16 @@
         val wasShort = isShort
         if (heldBytes > bulkBytes) {
             if (!wasShort) pressureSinceMs = clock.nowMs()
-        } else if (heldBytes <= limits().maxHeldBytes * RELIEF_PERCENT / PERCENT) {
+        } else if (heldBytes <= reliefBytes) {
             pressureSinceMs = null
         }
         if (wasShort != isShort) holdings.toList().forEach { it.owner.onPressureChanged() }
     }
 
-    private fun evict(targetBytes: Long) {
+    private fun evict(targetBytes: Long, isEligible: (Holding) -> Boolean) {
         val nowMs = clock.nowMs()
         val largest = holdings
-            .filter { it.incompleteSinceMs != null }
+            .filter { it.incompleteSinceMs != null && isEligible(it) }
             .sortedByDescending { it.incompleteBytes * (nowMs - (it.incompleteSinceMs ?: 0) + 1) }
         for (holding in largest) {
             if (heldBytes <= targetBytes) return
--- a/gateway/netty/src/main/kotlin/org/hyssoprack/gateway/netty/CallerConnection.kt
+++ b/gateway/netty/src/main/kotlin/org/hyssoprack/gateway/netty/CallerConnection.kt
@@ -195,6 +195,7 @@
             hasBody = request.method != HttpMethod.HEAD,
             writeWithinMs = limits.idleTimeoutMs,
             waitForRoom = ::waitForRoom,
+            onWriting = ::updateHeld,
             closes = { closes || isDraining() }
         )
     }
--- a/gateway/netty/src/main/kotlin/org/hyssoprack/gateway/netty/ChannelAnswerWriter.kt
+++ b/gateway/netty/src/main/kotlin/org/hyssoprack/gateway/netty/ChannelAnswerWriter.kt
@@ -24,6 +24,8 @@
  *
  * @param writeWithinMs time after which a caller that has not read a complete response is cut off.
  * @param waitForRoom waits until the host may hold so many bytes of the response.
+ * @param onWriting called when a complete response begins to be written, for which the request is
+ *   no longer needed.
  * @param hasBody whether the response may have a body; false for a response to a HEAD request.
  */
 internal class ChannelAnswerWriter(
@@ -31,6 +33,7 @@
     private val hasBody: Boolean,
     private val writeWithinMs: Long,
     private val waitForRoom: suspend (Int) -> Unit,
+    private val onWriting: () -> Unit,
     private val closes: () -> Boolean
 ) : ResponseWriter {
     private var writableSignal: CompletableDeferred<Unit>? = null
@@ -71,6 +74,7 @@
         response.headers().set(HttpHeaderNames.CONTENT_LENGTH, body.size)
         begin(response)
         isComplete = true
+        onWriting()
         channel.write(response)
         withTimeoutOrNull(writeWithinMs) { writePieces(body) } ?: abort()
     }
--- a/gateway/netty/src/main/kotlin/org/hyssoprack/gateway/netty/Holding.kt
+++ b/gateway/netty/src/main/kotlin/org/hyssoprack/gateway/netty/Holding.kt
@@ -18,6 +18,9 @@
     /** Whether it is too small to be stopped while the host is short of memory. */
     val isSmall: Boolean get() = bytes <= SMALL_BYTES
 
+    /** Whether its incomplete request is refused only at the limit, after all larger ones. */
+    val isIncompleteSmall: Boolean get() = incompleteBytes <= SMALL_BYTES
+
     private companion object {
         // Far above an ordinary request, far below what a crowd needs to fill a heap.
         const val SMALL_BYTES = 65_536L
--- a/gateway/netty/src/test/kotlin/org/hyssoprack/gateway/netty/CallerServerTest.kt
+++ b/gateway/netty/src/test/kotlin/org/hyssoprack/gateway/netty/CallerServerTest.kt
@@ -57,6 +57,19 @@
                 431,
                 0
             ),
+            Case(
+                "more header lines than are allowed",
+                "GET / HTTP/1.1\r\nHost: h\r\n" + "a: b\r\n".repeat(128) + "\r\n",
+                431,
+                0
+            ),
+            Case(
+                "more trailer lines than are allowed",
+                "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n" +
+                    "0\r\n" + "a: b\r\n".repeat(65) + "\r\n",
+                431,
+                0
+            ),
             Case(
                 "a request smuggled in a chunked body",
                 "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n" +
