Serve pipelined requests only while the caller reads

A caller that pipelines small requests and reads nothing let responses pile up outside the budget: the next request was served whatever waited to be written. Its connection now closes after the idle time limit. A second pipelined body counts as incomplete, and a closed connection no longer waits for room.

--- a/gateway/netty/src/main/kotlin/org/hyssoprack/gateway/netty/ByteBudget.kt
+++ b/gateway/netty/src/main/kotlin/org/hyssoprack/gateway/netty/ByteBudget.kt
@@ -63,6 +63,7 @@
 
     /** Grants [holding] a response of [bytes] in all once there is room, then calls [resume]. */
     internal fun request(holding: Holding, bytes: Long, resume: () -> Unit) {
+        if (holding !in holdings) return resume()
         waiting += Waiting(holding, bytes, resume)
         grantWaiting()
     }
--- a/gateway/netty/src/main/kotlin/org/hyssoprack/gateway/netty/CallerConnection.kt
+++ b/gateway/netty/src/main/kotlin/org/hyssoprack/gateway/netty/CallerConnection.kt
@@ -57,7 +57,7 @@
 
     /** Whether no request is being read or served. */
     val isIdle: Boolean
-        get() = serving == null && assembly == null && !isReadingHead
+        get() = serving == null && assembly == null && !isReadingHead && pipelined.isEmpty()
 
     /** Time since which the connection is idle, or reads a request. */
     var sinceMs = clock.nowMs()
@@ -77,7 +77,6 @@
         if (assembly == null) {
             val mostBytes = HeadCost.most(limits.maxHeaderBytes, budget.limits().maxHeaderLines)
             undecodedBytes = minOf(mostBytes, undecodedBytes + HeadCost.of(bytes))
-            if (holding.incompleteSinceMs == null) holding.incompleteSinceMs = clock.nowMs()
             updateHeld()
         }
         return !isRefused
@@ -104,7 +103,8 @@
         val incomplete = undecodedBytes + (assembly?.heldBytes ?: 0)
         val complete = (current?.bytes ?: 0) + pipelined.sumOf { it.bytes } + holding.grantedBytes
         holding.incompleteBytes = incomplete
-        if (incomplete == 0L) holding.incompleteSinceMs = null
+        holding.incompleteSinceMs =
+            if (incomplete == 0L) null else holding.incompleteSinceMs ?: clock.nowMs()
         budget.resize(holding, CONNECTION_BYTES + incomplete + complete)
         updateReading()
     }
@@ -126,7 +126,9 @@
     }
 
     override fun channelWritabilityChanged(context: ChannelHandlerContext) {
-        if (context.channel().isWritable) writer?.onWritable()
+        if (!context.channel().isWritable) return
+        writer?.onWritable()
+        if (serving == null && pipelined.isNotEmpty()) serveNext()
     }
 
     override fun channelInactive(context: ChannelHandlerContext) {
@@ -170,11 +172,13 @@
         if (serving == null) serveNext()
     }
 
+    /** Serves the next request once the caller has read enough of the responses before it. */
     private fun serveNext() {
+        val channel = context?.channel() ?: return
+        if (!channel.isWritable) return waitForRequest()
         current = pipelined.removeFirstOrNull()
         updateHeld()
         val request = current?.request ?: return waitForRequest()
-        val channel = context?.channel() ?: return
         val answer = answerTo(request, channel)
         writer = answer
         serving = scope.launch {
