--- a/gateway/netty/src/main/kotlin/org/hyssoprack/gateway/netty/ByteLimits.kt
+++ b/gateway/netty/src/main/kotlin/org/hyssoprack/gateway/netty/ByteLimits.kt
@@ -15,7 +15,7 @@
     val maxTrailerLines: Int = 64
 ) {
     companion object {
-        // What the program itself needs of the heap, measured as 12 MB of live objects.
+        // Estimate of what the program itself needs of the heap; not measured.
         private const val OWN_BYTES = 20L * 1_048_576
         private const val MIN_BYTES = 2L * 1_048_576
 
--- a/gateway/netty/src/main/kotlin/org/hyssoprack/gateway/netty/CallerConnection.kt
+++ b/gateway/netty/src/main/kotlin/org/hyssoprack/gateway/netty/CallerConnection.kt
@@ -278,7 +278,7 @@
     private fun notRun(code: ResultCode, detail: String) = Failure(code, detail, RETRY_MS)
 
     private companion object {
-        // What Netty keeps for an open connection.
+        // Estimate of what Netty keeps for an open connection.
         const val CONNECTION_BYTES = 4_096L
 
         // Time for a refused caller to read the response, whether it does or not.
