Allow 1,024 header lines a request

A head of maxHeaderBytes may have some hundred short lines from a caller within the limits; 128 refused it. The byte budget bounds the sum.

--- a/gateway/netty/src/main/kotlin/org/hyssoprack/gateway/netty/ByteLimits.kt
+++ b/gateway/netty/src/main/kotlin/org/hyssoprack/gateway/netty/ByteLimits.kt
@@ -11,7 +11,7 @@
 data class ByteLimits(
     val maxHeldBytes: Long = heapShare(Runtime.getRuntime().maxMemory()),
     val maxConnections: Int = Int.MAX_VALUE,
-    val maxHeaderLines: Int = 128,
+    val maxHeaderLines: Int = 1_024,
     val maxTrailerLines: Int = 64
 ) {
     companion object {
