Expect no answer to a heartbeat between hosts

Cause: the last heartbeat before a connection pauses gets no answer, so that the connection was closed as silent 1.5 s later and opened again for the next message.

TcpLinkTest, 'a connection stays open after a message and its reply': 9 connections before, 1 after.

--- a/link/tcp/src/main/kotlin/org/hyssoprack/link/tcp/Connection.kt
+++ b/link/tcp/src/main/kotlin/org/hyssoprack/link/tcp/Connection.kt
@@ -45,7 +45,7 @@
     private val ended = CompletableDeferred<CloseReason>()
     private val monitorResumed = Channel<Unit>(Channel.CONFLATED)
 
-    /** Time of the first send after the last received byte, initially of creation; else null. */
+    /** Time of the first message sent after the last received byte, initially of creation. */
     @Volatile
     private var unansweredSinceMs: Long? = clock.nowMs()
 
@@ -137,7 +137,6 @@
             if (!isOpen) return
             writeBatch(first)
             lastSentMs = clock.nowMs()
-            if (unansweredSinceMs == null) unansweredSinceMs = lastSentMs
             socket.flush()
         }
     }
@@ -146,12 +145,19 @@
         var frame: Frame? = first
         var size = 0
         while (frame != null) {
-            if (frame is Frame.Payload) recordMessage()
+            if (frame is Frame.Payload) recordSentMessage()
             size += write(frame)
             frame = if (size < BATCH_BYTES) outgoing.tryReceive().getOrNull() else null
         }
     }
 
+    // A heartbeat needs no answer: the last one before a pause gets none, and would close the
+    // connection.
+    private fun recordSentMessage() {
+        recordMessage()
+        if (unansweredSinceMs == null) unansweredSinceMs = clock.nowMs()
+    }
+
     private fun write(frame: Frame): Int =
         socket.write(frame).fold({ logUnsendable(frame, it) }, { it })
 
--- a/link/tcp/src/test/kotlin/org/hyssoprack/link/tcp/TcpLinkTest.kt
+++ b/link/tcp/src/test/kotlin/org/hyssoprack/link/tcp/TcpLinkTest.kt
@@ -178,6 +178,22 @@
             }
         }
 
+    /** Guards against hosts that close and reopen healthy connections after each few messages. */
+    @Example
+    fun `a connection stays open after a message and its reply`() = runBlocking {
+        val settings = LinkSettings(heartbeatMs = 40, heartbeatPauseAfterMs = 56, idleMs = 60_000)
+        val left = open("a", settings)
+        val right = open("b", settings)
+        repeat(10) {
+            left.sendTo(right.address, Note(1))
+            next(right)
+            right.sendTo(left.address, Note(2))
+            next(left)
+            delay(settings.receiveTimeoutMs * 2)
+        }
+        assertThat(left.metrics.connects + right.metrics.connects).isEqualTo(1L)
+    }
+
     @Example
     fun `a hello of an older run or of another version is refused`() = runBlocking {
         val link = open("a")
