Share capacity between accounts only where servers report their pace

Cause: the new order, admission and calendar applied to every deployment. Services whose servers do not report their pace are served as before: order of age, the former prediction and the former Retry-After.

Tests of slots, queue, sharing, overload, rate limits and placement pass.

--- a/core/serving/src/main/kotlin/org/hyssoprack/serving/placement/ServerState.kt
+++ b/core/serving/src/main/kotlin/org/hyssoprack/serving/placement/ServerState.kt
@@ -60,7 +60,7 @@
     val unreadTokens: Int get() = own.promptTokens + peers.promptTokens
 
     /** Whether the server reports its pace; the memory of the others is planned by estimates. */
-    private val reportsPace: Boolean get() = pace.lastPercent != null
+    val reportsPace: Boolean get() = pace.lastPercent != null
 
     /** Whether the server failed recently or stopped responding, so that others are preferred. */
     val isSuspect: Boolean get() = health.isSuspect
--- a/core/serving/src/main/kotlin/org/hyssoprack/serving/queue/DispatchQueue.kt
+++ b/core/serving/src/main/kotlin/org/hyssoprack/serving/queue/DispatchQueue.kt
@@ -8,9 +8,9 @@
  * Priority queue of the requests of one service that wait for a slot. Requests whose response has
  * been started come first, since their callers lose what they have received. Then come requests that
  * can still be on time, then the more urgent rank, then the account that has had less of the slot
- * time, then callers that return when told to, then the older request. In an overload not all can be on time, and a late response is worth
- * only a part of one on time, whatever its rank. One request of each underserved rank goes ahead,
- * so that no rank starves.
+ * time, then callers that return when told to, then the older request. In an overload not all can
+ * be on time, and a late response is worth only a part of one on time, whatever its rank. One
+ * request of each underserved rank goes ahead, so that no rank starves.
  */
 class DispatchQueue {
     private val waiting = LinkedHashMap<QueuedRequest, WaitingRequest>()
@@ -23,23 +23,30 @@
     fun recordRequest(request: QueuedRequest, nowMs: Long) =
         reservations.recordRequest(request.rank, nowMs)
 
-    /** Records that [request] was granted a slot, which it is expected to hold for [slotMs]. */
-    fun recordGrant(request: QueuedRequest, slotMs: Double, nowMs: Long) {
+    /**
+     * Records that [request] was granted a slot, which it is expected to hold for [slotMs].
+     *
+     * @param isShared whether the capacity is shared between accounts.
+     */
+    fun recordGrant(request: QueuedRequest, slotMs: Double, nowMs: Long, isShared: Boolean = true) {
         reservations.recordGrant(request.rank, slotMs, nowMs)
-        shares.recordGrant(WaitingRequest(request, slotMs), nowMs)
+        shares.recordGrant(WaitingRequest(request, slotMs, isShared = isShared), nowMs)
     }
 
     /**
      * Adds [request], which is expected to hold a slot for [slotMs].
      *
      * @param isReturning whether its caller was refused before and told to return now.
+     * @param isShared whether the capacity is shared between accounts; otherwise requests of equal
+     *   urgency are ordered by age.
      */
     fun add(
         request: QueuedRequest,
         slotMs: Double = DEFAULT_SLOT_MS,
-        isReturning: Boolean = false
+        isReturning: Boolean = false,
+        isShared: Boolean = true
     ) {
-        val added = WaitingRequest(request, slotMs, isReturning)
+        val added = WaitingRequest(request, slotMs, isReturning, isShared)
         waiting[request] = added
         shares.recordWaiting(added)
     }
--- a/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/ServerPool.kt
+++ b/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/ServerPool.kt
@@ -42,11 +42,13 @@
     private val versions: VersionGate = AllVersions
 ) {
     private val states = LinkedHashMap<BackendServerId, ServerState>()
+    private val present = PresentServers(states.values, limits)
     private val queue = DispatchQueue()
     private val returns = ReturnTimes(retryAfter)
     private val waiting = HashMap<QueuedRequest, Waiter>()
     private val outputs = OutputSpread()
     private val rate = GrantRate()
+    private val expiry = ExpiryForecast(queue, rate)
     private val requested = SlidingWindowSum(DEMAND_WINDOW_MS)
     private var typical = TypicalSpeed.of(emptyList())
     private var typicalMs = Long.MIN_VALUE / 2
@@ -123,20 +125,30 @@
         val nowMs = clock.nowMs()
         queue.recordRequest(request, nowMs)
         requested.add(nowMs, 1.0)
-        val isReturning = request.isFirstAttempt && returns.redeem(request.returnKey, nowMs)
+        val isShared = isShared()
+        val isReturning =
+            isShared && request.isFirstAttempt && returns.redeem(request.returnKey, nowMs)
         val waiter = Waiter(nowMs, isReturning, settle)
         rejectionOf(request)?.let { return settle(request, waiter, it.left()) }
         if (queue.size == 0) grant(request)?.let { return settle(request, waiter, it.right()) }
+        if (!isShared && !present.areAllLimited && expiry.isExpectedToExpire(request, nowMs)) {
+            val failure = rejection(request, ResultCode.QUEUE_FULL, queueStatus(request))
+            return settle(request, waiter, failure.left())
+        }
         if (queue.size == 0) rate.recordQueueBegin(nowMs)
-        queue.add(request, typical(nowMs).slotMs(request.work), isReturning)
+        queue.add(request, typical(nowMs).slotMs(request.work), isReturning, isShared)
         waiting[request] = waiter
-        val forecast = forecast(request, nowMs)
+        val forecast = if (isShared) forecast(request, nowMs) else null
         if (forecast?.isInTime(request.onTimeWaitMs(nowMs), request.giveUpMs - nowMs) == false) {
             return refuseOnArrival(request, forecast)
         }
         dispatchWaiting()
     }
 
+    // Servers that report their pace run beside other work, so that capacity falls short at times
+    // for which nobody planned; elsewhere the order of age and the former predictions hold.
+    private fun isShared() = states.values.any { it.reportsPace }
+
     /** Returns the state of sharing the slots of [service], for the next owner. */
     fun sharing(service: ServiceId): SharingState? {
         val state = SharingState(service, queue.leads(), returns.expected(clock.nowMs()))
@@ -180,7 +192,7 @@
                 settle(it, rejection(it, expiryCode(), detail).left())
             }
             grantWaiting(nowMs)
-            if (areAllLimited()) rejectUnreachable(nowMs)
+            if (present.areAllLimited) rejectUnreachable(nowMs)
         } finally {
             isDispatching = false
         }
@@ -192,11 +204,11 @@
      * cannot, which therefore do not wait.
      */
     private fun rejectUnreachable(nowMs: Long) {
-        val admittedPerWindow = hostPerS() * DEMAND_WINDOW_MS / MS_PER_S
+        val admittedPerWindow = present.hostPerS * DEMAND_WINDOW_MS / MS_PER_S
         val isOverloaded = requested.total(nowMs) > admittedPerWindow
         var ahead = 0
         for (request in queue.ordered(nowMs)) {
-            val waitMs = limitedWaitMs(ahead)
+            val waitMs = present.limitedWaitMs(ahead)
             val isTooLate = nowMs + waitMs > request.giveUpMs
             val isLate = !request.isStarted && waitMs > request.onTimeWaitMs(nowMs)
             if (isTooLate || isOverloaded && isLate) {
@@ -210,7 +222,7 @@
     }
 
     private fun expiryCode() =
-        if (areAllLimited()) ResultCode.SERVERS_LIMITED else ResultCode.DEADLINE_UNREACHABLE
+        if (present.areAllLimited) ResultCode.SERVERS_LIMITED else ResultCode.DEADLINE_UNREACHABLE
 
     private fun grantWaiting(nowMs: Long) {
         if (!hasOpen()) return
@@ -254,7 +266,7 @@
         state.rateLimit?.take()
         val slotMs = typical(nowMs).slotMs(request.work)
         rate.recordGrant(slotMs, nowMs)
-        queue.recordGrant(request, slotMs, nowMs)
+        queue.recordGrant(request, slotMs, nowMs, isShared())
         return state
     }
 
@@ -278,7 +290,7 @@
             val detail = "${request.work.tokens} tokens exceed the memory of every backend server."
             return Failure(ResultCode.MEMORY_EXCEEDED, detail)
         }
-        val closedMs = closedMs()
+        val closedMs = present.closedMs
         if (closedMs == 0L || clock.nowMs() + closedMs <= request.giveUpMs) return null
         return rejection(
             request,
@@ -287,26 +299,14 @@
         )
     }
 
-    /** Returns the time until a request may be sent to the first server, in milliseconds. */
-    private fun closedMs(): Long =
-        states.values.filter { !it.server.isLeaving }.minOfOrNull { it.closedMs } ?: 0
-
-    /** Whether every server that may get requests accepts a limited rate only. */
-    private fun areAllLimited(): Boolean {
-        if (limits.isEmpty) return false
-        val present = presentServers()
-        return present.isNotEmpty() && present.all { it.rateLimit != null }
-    }
-
-    private fun presentServers() = states.values.filter { !it.server.isLeaving }
-
     /**
      * Predicts when a request that has just begun to wait is granted a slot; null if this cannot be
      * predicted. Those whose response has been started go ahead of the others.
      */
     private fun forecast(request: QueuedRequest, nowMs: Long): StartForecast? {
-        if (request.isStarted || queue.size <= MIN_QUEUE || areAllLimited()) return null
-        val slots = presentServers().sumOf { it.server.slots }
+        val isShort = queue.size <= ExpiryForecast.MIN_QUEUE
+        if (request.isStarted || isShort || present.areAllLimited) return null
+        val slots = present.slots
         return queue.forecast(request, rate.usableSlots(slots, nowMs), nowMs)
     }
 
@@ -323,27 +323,16 @@
         settle(request, result)
     }
 
-    /**
-     * Returns the time until the rate limits admit a request after [ahead] others, in milliseconds.
-     */
-    private fun limitedWaitMs(ahead: Int): Long {
-        val firstMs = presentServers().mapNotNull { it.rateLimit?.waitMs() }.minOrNull() ?: 0
-        return firstMs + (ahead / hostPerS() * MS_PER_S).toLong()
-    }
-
-    /** Returns the rate at which the limits of the servers admit requests on this host. */
-    private fun hostPerS(): Double = presentServers().sumOf { it.rateLimit?.hostPerS ?: 0.0 }
-
     private fun rejection(request: QueuedRequest, code: ResultCode, detail: String): Failure {
         val nowMs = clock.nowMs()
-        val limitedMs = if (areAllLimited()) limitedWaitMs(queue.size) else 0
+        val limitedMs = if (present.areAllLimited) present.limitedWaitMs(queue.size) else 0
         val retryAfterMs = returns.retryAfterMs(
             key = request.returnKey,
             nowMs = nowMs,
             leftMs = request.endMs - nowMs,
-            waitMs = maxOf(closedMs(), limitedMs),
+            waitMs = maxOf(present.closedMs, limitedMs),
             // The limits have their own prediction, which is part of the waiting time.
-            grantsPerMs = if (areAllLimited()) 0.0 else rate.perMs(nowMs)
+            grantsPerMs = if (present.areAllLimited || !isShared()) 0.0 else rate.perMs(nowMs)
         )
         return Failure(code, detail, retryAfterMs)
     }
@@ -373,8 +362,5 @@
 
         // Speeds change only with some requests, so the medians are reused for this time.
         const val TYPICAL_LIFETIME_MS = 100L
-
-        // Shorter queues do not predict the waiting time well.
-        const val MIN_QUEUE = 4
     }
 }
