Send new messages only to hosts that can decode them

Cause: a host of an older build closes the link on which it gets a message that it does not know, so that a fleet could only be replaced at once. The hello names the sender's revision.

--- a/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/slots/SlotMessage.kt
+++ b/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/slots/SlotMessage.kt
@@ -229,12 +229,16 @@
     data class OwnerClaim(
         @SerialName("h") val owner: HostRef,
         @SerialName("t") val term: Long = 0
-    ) : SlotMessage
+    ) : SlotMessage {
+        override val sinceRevision: Int get() = 1
+    }
 
     /** Asks another host when it last received a message of [owner]. */
     @Serializable
     @SerialName("sh")
-    data class OwnerCheck(@SerialName("h") val owner: HostId) : SlotMessage
+    data class OwnerCheck(@SerialName("h") val owner: HostId) : SlotMessage {
+        override val sinceRevision: Int get() = 1
+    }
 
     /**
      * Replies to an [OwnerCheck].
@@ -246,7 +250,9 @@
     data class OwnerSilence(
         @SerialName("h") val owner: HostId,
         @SerialName("t") val silentMs: Long? = null
-    ) : SlotMessage
+    ) : SlotMessage {
+        override val sinceRevision: Int get() = 1
+    }
 }
 
 /** Registers [SlotMessage] for the link between hosts. */
--- a/link/tcp/src/main/kotlin/org/hyssoprack/link/tcp/Connection.kt
+++ b/link/tcp/src/main/kotlin/org/hyssoprack/link/tcp/Connection.kt
@@ -25,11 +25,13 @@
  * @property peer incarnation of the host on the other side.
  * @property address where the peer accepts connections.
  * @property dialer host that opened the connection.
+ * @param revision newest messages that the peer can decode.
  */
 internal class Connection(
     val peer: HostRef,
     val address: NetworkAddress,
     val dialer: HostId,
+    private val revision: Int,
     private val socket: FrameSocket,
     private val settings: LinkSettings,
     private val clock: Clock,
@@ -61,8 +63,12 @@
     /** True until the connection has ended. */
     val isOpen: Boolean get() = !ended.isCompleted
 
-    /** Queues [message]; drops the oldest queued message if the queue is full. */
+    /**
+     * Queues [message]; drops the oldest queued message if the queue is full. A message that the peer
+     * cannot decode is not sent, since the peer would close the connection.
+     */
     fun send(message: HostMessage) {
+        if (message.sinceRevision > revision) return
         val sent = outgoing.trySend(Frame.Payload(message))
         if (sent.isFailure) counters.drops.increment()
     }
--- a/link/tcp/src/main/kotlin/org/hyssoprack/link/tcp/ConnectionOpener.kt
+++ b/link/tcp/src/main/kotlin/org/hyssoprack/link/tcp/ConnectionOpener.kt
@@ -80,7 +80,12 @@
     }
 
     private suspend fun sendHello(frames: FrameSocket) {
-        val hello = Hello(version = Hello.WIRE_VERSION, ref = self, address = address)
+        val hello = Hello(
+            version = Hello.WIRE_VERSION,
+            ref = self,
+            address = address,
+            revision = Hello.REVISION
+        )
         frames.write(Frame.Handshake(hello))
         frames.flush()
     }
@@ -110,6 +115,7 @@
             peer = hello.ref,
             address = hello.address,
             dialer = dialer,
+            revision = hello.revision,
             socket = frames,
             settings = settings,
             clock = clock,
--- a/link/tcp/src/test/kotlin/org/hyssoprack/link/tcp/Note.kt
+++ b/link/tcp/src/test/kotlin/org/hyssoprack/link/tcp/Note.kt
@@ -15,8 +15,17 @@
 @SerialName("o")
 internal data class OtherNote(val number: Int) : HostMessage
 
+@Serializable
+@SerialName("m")
+internal data class NewNote(val number: Int) : HostMessage {
+    override val sinceRevision: Int get() = Hello.REVISION
+}
+
 internal val notes = SerializersModule {
-    polymorphic(HostMessage::class) { subclass(Note::class) }
+    polymorphic(HostMessage::class) {
+        subclass(Note::class)
+        subclass(NewNote::class)
+    }
 }
 
 internal val otherNotes = SerializersModule {
--- a/link/tcp/src/test/kotlin/org/hyssoprack/link/tcp/TcpLinkTest.kt
+++ b/link/tcp/src/test/kotlin/org/hyssoprack/link/tcp/TcpLinkTest.kt
@@ -178,6 +178,24 @@
             }
         }
 
+    /** Guards against links that hosts of an older build close while a fleet is replaced. */
+    @Example
+    fun `a message that an older host cannot decode is not sent to it`() = runBlocking {
+        val link = open("a")
+        ServerSocket(0).use { server ->
+            val address = NetworkAddress("127.0.0.1", server.localPort)
+            link.setAddress(b, address)
+            link.send(b, NewNote(1))
+            link.send(b, Note(2))
+            val peer = RawPeer.accept(server)
+            peer.sendHello("b", incarnation = 1, address = address)
+            assertThat(peer.readNote()).isEqualTo(Note(2))
+        }
+        val newer = open("c")
+        link.sendTo(newer.address, NewNote(3))
+        assertThat(withTimeout(WAIT_MS) { newer.incoming.receive().message }).isEqualTo(NewNote(3))
+    }
+
     /** Guards against hosts that close and reopen healthy connections after each few messages. */
     @Example
     fun `a connection stays open after a message and its reply`() = runBlocking {
