--- a/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/ServerPool.kt
+++ b/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/ServerPool.kt
@@ -3,9 +3,6 @@
 import arrow.core.Either
 import arrow.core.left
 import arrow.core.right
-import kotlinx.coroutines.CancellationException
-import kotlinx.coroutines.CompletableDeferred
-import kotlinx.coroutines.ExperimentalCoroutinesApi
 import org.hyssoprack.common.BackendServerId
 import org.hyssoprack.common.Clock
 import org.hyssoprack.common.Failure
@@ -98,19 +95,6 @@
     /** Returns the state of the server [id], or null if it is not registered. */
     fun state(id: BackendServerId): ServerState? = states[id]
 
-    /** Waits for a slot. Fails if none is granted in time; nothing has been sent in that case. */
-    suspend fun acquire(request: QueuedRequest): Either<Failure, ServerState> {
-        val result = CompletableDeferred<Either<Failure, ServerState>>()
-        request(request) { result.complete(it) }
-        try {
-            return result.await()
-        } catch (e: CancellationException) {
-            withdraw(request)
-            releaseGranted(request, result)
-            throw e
-        }
-    }
-
     /**
      * Grants a free slot of one of the servers [among] at once; null if there is none or other
      * requests wait.
@@ -236,19 +220,6 @@
 
     private fun hasOpen() = versions.allowed(states.values, byOwner = true).any { it.isOpen }
 
-    // Releases a slot that was granted just as the caller disconnected.
-    @OptIn(ExperimentalCoroutinesApi::class)
-    private fun releaseGranted(
-        request: QueuedRequest,
-        result: CompletableDeferred<Either<Failure, ServerState>>
-    ) {
-        if (!result.isCompleted || result.isCancelled) return
-        result.getCompleted().onRight {
-            it.recordEnd(request.work, promptRead = false, request.isRelayedHere)
-            it.rateLimit?.giveBack()
-        }
-    }
-
     private fun grant(
         request: QueuedRequest,
         servers: Collection<ServerState> = states.values
--- a/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/slots/DecisionsAlone.kt
+++ b/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/slots/DecisionsAlone.kt
@@ -5,6 +5,7 @@
 import org.hyssoprack.common.Failure
 import org.hyssoprack.common.MessageNumbers
 import org.hyssoprack.gateway.forwarding.ServerPools
+import org.hyssoprack.gateway.forwarding.acquire
 import org.hyssoprack.serving.limits.HostPosition
 import org.hyssoprack.serving.placement.ServerState
 import org.hyssoprack.serving.queue.QueuedRequest
