Hold a version without an order back for a second only

Cause: servers of a newer version that replace others without an order got nothing while any of the others was left. RolloutGateTest states both guards; it and the other tests of roll-outs pass.

--- a/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/rollout/HeldVersions.kt
+++ b/gateway/forwarding/src/main/kotlin/org/hyssoprack/gateway/forwarding/rollout/HeldVersions.kt
@@ -5,16 +5,19 @@
 import org.hyssoprack.serving.fleet.RegisteredServer
 
 /**
- * Holds back servers of a version that appears beside others without an order: only an order permits
- * its use, and the servers and the orders come by separate feeds. A version is used without an order
- * once no other is left.
+ * Holds back servers of a version that appears beside others without an order, for a time: the
+ * servers and the orders come by separate feeds, so that the order may be on its way. After that
+ * time the version is used, since servers are also replaced by newer ones without any order.
  *
  * @param graceMs time after a service's first server in which its versions become known, in
  *   milliseconds.
  */
 internal class HeldVersions(private val clock: Clock, private val graceMs: () -> Long) {
     private class Versions(val firstMs: Long) {
-        val known = HashSet<String?>()
+        val heldUntilMs = HashMap<String?, Long>()
+
+        fun isUsable(version: String?, nowMs: Long) =
+            heldUntilMs[version].let { it != null && it <= nowMs }
     }
 
     private val services = HashMap<ServiceId, Versions>()
@@ -22,13 +25,24 @@
     /** Records the registered servers. */
     fun update(servers: Collection<RegisteredServer>) = servers.groupBy { it.service }
         .forEach { (service, registered) ->
-            val versions = services.getOrPut(service) { Versions(clock.nowMs()) }
-            val now = registered.map { it.version }
-            val isStarting = clock.nowMs() - versions.firstMs < graceMs()
-            if (isStarting || now.none { it in versions.known }) versions.known += now
+            val nowMs = clock.nowMs()
+            val versions = services.getOrPut(service) { Versions(nowMs) }
+            val now = registered.mapTo(HashSet()) { it.version }
+            val isStarting = nowMs - versions.firstMs < graceMs()
+            if (isStarting || now.none { versions.isUsable(it, nowMs) }) {
+                now.forEach { versions.heldUntilMs[it] = nowMs }
+            } else {
+                now.forEach { versions.heldUntilMs.putIfAbsent(it, nowMs + HOLD_MS) }
+            }
         }
 
-    /** Returns whether [server] must not be used without an order. */
+    /** Returns whether [server] must not be used yet without an order. */
     fun isHeld(server: RegisteredServer): Boolean =
-        services[server.service]?.let { server.version !in it.known } == true
+        services[server.service]?.isUsable(server.version, clock.nowMs()) == false
+
+    private companion object {
+        // Both feeds bring a row within this time unless the store is in trouble. Held longer,
+        // servers that replace others without an order would be missing as capacity.
+        const val HOLD_MS = 1_000L
+    }
 }
